--- /dev/null
+++ b/snipeweir/fleet/FleetSource.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "snipeweir/fleet/FleetView.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace snipeweir {
+
+/// A document as its source published it. Nodes pass it on to each other as it is, so that one decoder serves both.
+struct SourceDocument {
+    Revision revision;
+    std::string text;
+};
+
+/// Where the fleet's documents come from: set by the adapter of a platform. Reads give no value if the source did not
+/// answer.
+struct FleetSource {
+    template <typename T> using Reading = boost::asio::awaitable<std::optional<T>>;
+
+    std::function<Reading<SourceDocument>()> readBackends;
+    std::function<Reading<SourceDocument>()> readOperators;
+
+    /// Waits until the operators have written something after a revision; gives false after the wait.
+    std::function<Reading<bool>(Revision after, std::chrono::milliseconds wait)> watchOperators;
+
+    /// Decoders; what is malformed names no backend server and is counted, and the other entries hold.
+    std::function<BackendList(const SourceDocument&)> decodeBackends;
+    std::function<OperatorState(const SourceDocument&)> decodeOperators;
+};
+
+}
--- /dev/null
+++ b/snipeweir/fleet/FleetView.cpp
@@ -0,0 +1,83 @@
+#include "snipeweir/fleet/FleetView.h"
+
+#include <algorithm>
+
+namespace snipeweir {
+
+bool FleetView::takeBackends(BackendList list, bool isSourceTroubled)
+{
+    if (list.revision < m_backends.revision)
+        return false;
+    std::sort(list.entries.begin(), list.entries.end(),
+        [](const BackendEntry& a, const BackendEntry& b) { return a.instance < b.instance; });
+
+    // Keep entries that are missing for no other reason than an outage of the source.
+    const SteadyTime now = m_clock.now();
+    std::map<std::string, SteadyTime> missingUntil;
+    std::vector<BackendEntry> kept;
+    for (const BackendEntry& entry : m_backends.entries) {
+        const bool isPresent = std::binary_search(list.entries.begin(), list.entries.end(), entry,
+            [](const BackendEntry& a, const BackendEntry& b) { return a.instance < b.instance; });
+        if (isPresent)
+            continue;
+        const auto known = m_missingUntil.find(entry.instance);
+        if (known == m_missingUntil.end() && !isSourceTroubled)
+            continue;
+        const SteadyTime until = known == m_missingUntil.end() ? now + missingEntryGrace : known->second;
+        if (until <= now)
+            continue;
+        missingUntil.emplace(entry.instance, until);
+        kept.push_back(entry);
+    }
+    m_missingUntil = std::move(missingUntil);
+    list.entries.insert(list.entries.end(), kept.begin(), kept.end());
+    std::sort(list.entries.begin(), list.entries.end(),
+        [](const BackendEntry& a, const BackendEntry& b) { return a.instance < b.instance; });
+
+    const bool isChanged = list.entries != m_backends.entries;
+    m_backends = std::move(list);
+    return isChanged;
+}
+
+bool FleetView::takeOperatorState(const OperatorState& state)
+{
+    if (state.revision < m_operatorRevision)
+        return false;
+    m_operatorRevision = state.revision;
+    bool isChanged = m_evacuated != state.evacuated;
+    m_evacuated = state.evacuated;
+    if (state.configuration && (!m_routes || state.configuration->version > m_configurationVersion)) {
+        m_configurationVersion = state.configuration->version;
+        m_routes = std::make_shared<RouteTable>(state.configuration);
+        isChanged = true;
+    }
+    return isChanged;
+}
+
+bool FleetView::expireMissing()
+{
+    const SteadyTime now = m_clock.now();
+    bool isChanged = false;
+    for (auto missing = m_missingUntil.begin(); missing != m_missingUntil.end();) {
+        if (missing->second > now) {
+            ++missing;
+            continue;
+        }
+        std::erase_if(m_backends.entries, [&](const BackendEntry& entry) { return entry.instance == missing->first; });
+        missing = m_missingUntil.erase(missing);
+        isChanged = true;
+    }
+    return isChanged;
+}
+
+const BackendEntry* FleetView::findByAddress(const Address& address) const
+{
+    const BackendEntry* newest = nullptr;
+    for (const BackendEntry& entry : m_backends.entries) {
+        if (entry.address == address && (!newest || entry.startedAtMs >= newest->startedAtMs))
+            newest = &entry;
+    }
+    return newest;
+}
+
+}
--- /dev/null
+++ b/snipeweir/placing/NodeLoad.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "snipeweir/core/Clock.h"
+
+#include <cstdint>
+#include <string>
+
+namespace snipeweir {
+
+/// What a serving node knows of its backend server at one moment. Sent in answer to a load query.
+struct NodeLoad {
+    /// Instance that the node serves; empty if none.
+    std::string instance;
+    /// Whether new requests are taken at all.
+    bool isAccepting = false;
+    uint32_t running = 0;
+    uint32_t waiting = 0;
+    /// Requests that run at once at most.
+    uint32_t limit = 1;
+    /// Time that work takes now, in percent of the usual time.
+    uint32_t slownessPercent = 100;
+    /// Mean run of late, at the present slowness.
+    std::chrono::microseconds meanRun { 0 };
+    /// Share of the recent requests that failed.
+    uint32_t failurePercent = 0;
+    /// Requests that a cold backend server may still take at once; noColdBound when it is warm.
+    uint32_t coldTokens = noColdBound;
+
+    static constexpr uint32_t noColdBound = 1000;
+
+    bool operator==(const NodeLoad&) const = default;
+};
+
+}
--- /dev/null
+++ b/snipeweir/placing/Placement.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "snipeweir/core/Random.h"
+#include "snipeweir/placing/NodeLoad.h"
+
+#include <optional>
+#include <vector>
+
+namespace snipeweir {
+
+/// What is known of one request before it is placed.
+struct RequestProfile {
+    /// Usual run on an undisturbed backend server.
+    std::chrono::microseconds work { 100'000 };
+    /// Time left until the answer is late; may be negative.
+    std::chrono::microseconds targetLeft { 500'000 };
+    /// Usual size of the answer.
+    double answerBytes = 1000;
+};
+
+/// One backend server that may take the request.
+struct PlacementCandidate {
+    size_t index = 0;
+    NodeLoad load;
+    /// Age of the load.
+    std::chrono::microseconds age { 0 };
+    std::chrono::microseconds roundTrip { 0 };
+    bool isSameDataCentre = true;
+};
+
+/// Estimates where a request is answered in time at the least cost. Answers the load that shifts within milliseconds:
+/// neighbours slow a backend server fourfold for a few hundred milliseconds, and queues build while a request runs.
+/// Pure: the same inputs give the same order.
+class Placement {
+public:
+    struct Settings {
+        /// Share of a request's worth that one byte across data centres costs; from the price of traffic between them.
+        double costPerCrossByte = 4e-6;
+        /// Time in which the slowness of a machine is forgotten by half; neighbours come and go in about 300 ms.
+        std::chrono::milliseconds slownessHalfLife { 200 };
+        /// Mean slowness assumed when nothing fresh is known, in percent of the usual time.
+        uint32_t usualSlownessPercent = 150;
+        /// Weight of a failure against a late answer.
+        double failureCost = 2;
+        /// Work of a cold backend server, in multiples of the usual.
+        double coldFactor = 2;
+    };
+
+    explicit Placement(Settings settings)
+        : m_settings(settings)
+    {
+    }
+
+    /// @return Expected time from sending to the whole answer.
+    std::chrono::microseconds expectedLatency(const RequestProfile&, const PlacementCandidate&) const;
+
+    /// @return Cost for comparison, in requests' worth; grows with the square of expected latency over the time left.
+    double cost(const RequestProfile&, const PlacementCandidate&) const;
+
+    /// @return Position of the cheapest candidate that accepts requests; empty if none does.
+    std::optional<size_t> choose(const RequestProfile&, const std::vector<PlacementCandidate>&) const;
+
+private:
+    Settings m_settings;
+};
+
+}
--- /dev/null
+++ b/snipeweir/relay/CallerConnection.cpp
@@ -0,0 +1,180 @@
+#include "snipeweir/relay/CallerConnection.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <sys/socket.h>
+
+namespace snipeweir {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+    /// Longest time for which bytes to a caller may stay unacknowledged.
+    constexpr std::chrono::milliseconds callerSilence { 3000 };
+    /// Time for a caller to take one piece of a streamed answer.
+    constexpr std::chrono::seconds pieceTimeout { 10 };
+
+    unsigned statusOf(const error_code& error)
+    {
+        if (error == http::error::header_limit)
+            return 431;
+        if (error == http::error::body_limit)
+            return 413;
+        if (error == beast::error::timeout)
+            return 408;
+        return error.category() == http::make_error_code(http::error::end_of_stream).category() ? 400 : 0;
+    }
+
+}
+
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket)
+    : m_stream(std::move(socket))
+{
+    tuneSocket(m_stream.socket(), callerSilence);
+}
+
+std::string CallerConnection::peerIp() const
+{
+    error_code ignored; // A peer that has left has no address; the text is for the log only.
+    return beast::get_lowest_layer(m_stream).socket().remote_endpoint(ignored).address().to_string();
+}
+
+asio::awaitable<CallerConnection::ReadEnd> CallerConnection::read(const CallerLimits& limits)
+{
+    m_request.reset();
+    if (m_buffer.size() == 0) {
+        m_stream.expires_after(limits.idleTimeout);
+        const auto [error, count] = co_await m_stream.async_read_some(m_buffer.prepare(4096), asTuple);
+        if (error)
+            co_return ReadEnd::Closed;
+        m_buffer.commit(count);
+    }
+
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<uint32_t>(limits.maxHeaderBytes));
+    parser.body_limit(limits.maxBodyBytes);
+    m_stream.expires_after(limits.headerTimeout);
+    auto [error, count] = co_await http::async_read_header(m_stream, m_buffer, parser, asTuple);
+    if (!error && parser.get()[http::field::expect] == "100-continue") {
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(m_stream, asio::buffer(interim), asTuple);
+    }
+    while (!error && !parser.is_done()) {
+        m_stream.expires_after(limits.headerTimeout);
+        std::tie(error, count) = co_await http::async_read_some(m_stream, m_buffer, parser, asTuple);
+    }
+    if (error) {
+        m_rejection = statusOf(error);
+        m_mustClose = true;
+        co_return m_rejection == 0 ? ReadEnd::Closed : ReadEnd::Rejected;
+    }
+    m_request = parser.release();
+    m_canGoOn = m_request->keep_alive();
+    m_stream.expires_never();
+    co_return ReadEnd::Request;
+}
+
+void CallerConnection::watchForLeave(std::function<void()> onLeft)
+{
+    m_onLeft = std::make_shared<std::function<void()>>(std::move(onLeft));
+    m_stream.socket().async_wait(
+        asio::ip::tcp::socket::wait_read, [this, weak = std::weak_ptr(m_onLeft)](const error_code& error) {
+            const auto hook = weak.lock();
+            if (error || !hook)
+                return;
+            char byte = 0;
+            if (::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
+                return; // The next request has arrived early.
+            m_hasLeft = true;
+            (*hook)();
+        });
+}
+
+void CallerConnection::stopWatching()
+{
+    if (!m_onLeft)
+        return;
+    m_onLeft.reset();
+    error_code ignored; // The socket may be closed already.
+    m_stream.socket().cancel(ignored);
+}
+
+void CallerConnection::finishHead(std::string& head)
+{
+    if (m_mustClose || !m_canGoOn) {
+        head.append("Connection: close\r\n");
+        m_canGoOn = false;
+    }
+    head.append("\r\n");
+}
+
+asio::awaitable<bool> CallerConnection::write(
+    const std::string& first, const std::string& second, SteadyTime deadline)
+{
+    m_stream.expires_at(deadline);
+    const std::array<asio::const_buffer, 2> buffers { asio::buffer(first), asio::buffer(second) };
+    const auto [error, count] = co_await asio::async_write(m_stream, buffers, asTuple);
+    m_stream.expires_never();
+    if (error)
+        m_canGoOn = false;
+    co_return !error;
+}
+
+asio::awaitable<bool> CallerConnection::writeWhole(std::string head, const std::string& body, SteadyTime deadline)
+{
+    const bool isHeadRequest = m_request && m_request->method() == http::verb::head;
+    head.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+    finishHead(head);
+    static const std::string none;
+    co_return co_await write(head, isHeadRequest ? none : body, deadline);
+}
+
+asio::awaitable<bool> CallerConnection::writeStreamed(
+    std::string head, std::string body, HttpExchange& rest, SteadyTime deadline, const Clock& clock)
+{
+    const auto length = rest.contentLength();
+    // HTTP/1.0 has no chunks; the end of the connection ends the body there.
+    const bool isChunked = !length && m_request->version() >= 11;
+    if (length)
+        head.append("Content-Length: ").append(std::to_string(*length)).append("\r\n");
+    else if (isChunked)
+        head.append("Transfer-Encoding: chunked\r\n");
+    else
+        m_mustClose = true;
+    finishHead(head);
+
+    HttpExchange::End end = HttpExchange::End::More;
+    for (;;) {
+        if (isChunked && !body.empty()) {
+            std::array<char, 20> size {};
+            std::snprintf(size.data(), size.size(), "%zx\r\n", body.size());
+            head.append(size.data());
+            body.append("\r\n");
+        }
+        const bool isLast = end == HttpExchange::End::Complete;
+        if (isChunked && isLast)
+            body.append("0\r\n\r\n");
+        if (!co_await write(head, body, clock.now() + pieceTimeout))
+            co_return false;
+        if (isLast)
+            co_return true;
+        head.clear();
+        body.clear();
+        end = co_await rest.readBody(body, deadline);
+        if (end != HttpExchange::End::Complete && end != HttpExchange::End::More) {
+            m_canGoOn = false;
+            co_return false;
+        }
+    }
+}
+
+void CallerConnection::close()
+{
+    error_code ignored; // The peer may have closed first.
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_stream.close();
+}
+
+}
--- /dev/null
+++ b/snipeweir/relay/Connection.cpp
@@ -0,0 +1,91 @@
+#include "snipeweir/relay/Connection.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace snipeweir {
+
+namespace {
+
+    /// Whether nothing has arrived on an idle connection: neither its end nor bytes that belong to no request.
+    bool isQuiet(asio::ip::tcp::socket& socket)
+    {
+        char byte = 0;
+        const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+    template <int Name> using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+
+}
+
+void tuneSocket(asio::ip::tcp::socket& socket, std::chrono::milliseconds unacknowledged)
+{
+    error_code ignored; // A socket without these options still works; a silent peer is then noticed later.
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(static_cast<int>(unacknowledged.count())), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(TcpOption<TCP_KEEPIDLE>(1), ignored);
+    socket.set_option(TcpOption<TCP_KEEPINTVL>(1), ignored);
+    socket.set_option(TcpOption<TCP_KEEPCNT>(2), ignored);
+}
+
+asio::ip::tcp::endpoint tcpEndpoint(const Address& address)
+{
+    error_code ignored; // A malformed address becomes 0.0.0.0, to which no connection can be opened.
+    return { asio::ip::make_address(address.ip, ignored), address.port };
+}
+
+asio::awaitable<std::unique_ptr<Connection>> ConnectionPool::acquire(
+    const Address& to, std::chrono::milliseconds maxIdle, SteadyTime deadline)
+{
+    const SteadyTime now = m_clock.now();
+    auto& idle = m_idle[to];
+    // The connection used last is the least likely to have been closed.
+    while (!idle.empty() && maxIdle.count() > 0) {
+        std::unique_ptr<Connection> connection = std::move(idle.back());
+        idle.pop_back();
+        auto limit = std::min(maxIdle, m_settings.maxIdle);
+        if (connection->peerIdleTimeout)
+            limit = std::min(limit, *connection->peerIdleTimeout / 2);
+        if (now - connection->usedAt > limit || !isQuiet(connection->stream.socket()))
+            continue;
+        connection->isReused = true;
+        co_return connection;
+    }
+
+    auto connection = std::make_unique<Connection>(m_executor);
+    connection->to = to;
+    connection->stream.expires_at(std::min(deadline, now + m_settings.connectTimeout));
+    const auto [error] = co_await connection->stream.async_connect(tcpEndpoint(to), asTuple);
+    if (error)
+        co_return nullptr;
+    ++m_opened;
+    tuneSocket(connection->stream.socket(), m_settings.unacknowledged);
+    co_return connection;
+}
+
+void ConnectionPool::release(std::unique_ptr<Connection> connection)
+{
+    if (connection->buffer.size() > 0)
+        return;
+    connection->stream.expires_never();
+    connection->usedAt = m_clock.now();
+    auto& idle = m_idle[connection->to];
+    idle.push_back(std::move(connection));
+    if (idle.size() > m_settings.maxIdlePerAddress)
+        idle.pop_front();
+}
+
+void ConnectionPool::closeIdle()
+{
+    const SteadyTime now = m_clock.now();
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+        std::erase_if(entry->second,
+            [&](const std::unique_ptr<Connection>& connection) { return now - connection->usedAt > m_settings.maxIdle; });
+        entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+}
+
+}
--- /dev/null
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -0,0 +1,286 @@
+#include "snipeweir/relay/FleetFollower.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <set>
+#include <xxhash.h>
+
+namespace snipeweir {
+
+namespace {
+
+    using End = HttpExchange::End;
+
+    /// Entries may be missing for this long after the source was out of order.
+    constexpr std::chrono::milliseconds troubleMemory { 3000 };
+    /// A node that read this recently follows the operators' documents as well.
+    constexpr std::chrono::milliseconds readerMemory { 1500 };
+    /// Bounds how long a change could stay unseen if a watch misses it.
+    constexpr std::chrono::milliseconds operatorWait { 2500 };
+    constexpr std::chrono::milliseconds operatorRetry { 300 };
+    constexpr std::chrono::milliseconds fetchTimeout { 1500 };
+
+    uint64_t hashOf(std::string_view text) { return XXH64(text.data(), text.size(), 0); }
+
+    uint64_t digestOf(const FleetView& view)
+    {
+        std::string text;
+        for (const BackendEntry& entry : view.backends())
+            text.append(entry.instance)
+                .append(entry.address.text())
+                .append(entry.service.text())
+                .append(entry.dataCentre.text())
+                .append(entry.isDraining ? "d" : "r")
+                .append(std::to_string(entry.slots));
+        return hashOf(text);
+    }
+
+}
+
+FleetFollower::FleetFollower(asio::any_io_executor executor, const Clock& clock, const RelaySettings& node,
+    FleetSource source, FleetView& view, PeerLoads& peers, JsonLog& log)
+    : m_executor(executor)
+    , m_clock(clock)
+    , m_node(node)
+    , m_source(std::move(source))
+    , m_view(view)
+    , m_peers(peers)
+    , m_log(log)
+    , m_pool(executor, clock, ConnectionPool::Settings())
+    , m_turn(ReadTurn::Settings())
+    , m_operatorTimer(executor)
+{
+}
+
+std::chrono::milliseconds FleetFollower::age() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_turn.age(m_clock.now()));
+}
+
+bool FleetFollower::isReader() const { return m_clock.now() - m_readAt < readerMemory; }
+
+bool FleetFollower::isTroubled() const { return m_clock.now() - m_troubledAt < troubleMemory; }
+
+const SourceDocument* FleetFollower::document(std::string_view path) const
+{
+    if (path == backendsPath && m_backends.revision.value > 0)
+        return &m_backends;
+    if (path == operatorsPath && m_operators.revision.value > 0)
+        return &m_operators;
+    return nullptr;
+}
+
+void FleetFollower::takeBackends(SourceDocument document, bool isSourceTroubled)
+{
+    if (document.revision < m_backends.revision)
+        return;
+    BackendList list = m_source.decodeBackends(document);
+    list.revision = document.revision;
+    const bool isChanged = m_view.takeBackends(std::move(list), isSourceTroubled);
+    m_backends = std::move(document);
+    m_backendsMark.revision = m_backends.revision.value;
+    if (!isChanged)
+        return;
+    m_backendsMark.digest = digestOf(m_view);
+    m_log.belief("backends_changed", { { "revision", std::to_string(m_backends.revision.value) },
+                                         { "entries", std::to_string(m_view.backends().size()) } });
+    updateRank();
+    onChanged();
+}
+
+void FleetFollower::takeOperators(SourceDocument document)
+{
+    if (document.revision < m_operators.revision)
+        return;
+    const uint64_t digest = hashOf(document.text);
+    const bool isSame = digest == m_operatorsMark.digest;
+    m_operatorsMark = { document.revision.value, digest };
+    m_operators = std::move(document);
+    if (isSame)
+        return;
+    OperatorState state = m_source.decodeOperators(m_operators);
+    state.revision = m_operators.revision;
+    if (!m_view.takeOperatorState(state))
+        return;
+    std::string evacuated;
+    for (const DataCentreName& dataCentre : m_view.evacuated())
+        evacuated.append(evacuated.empty() ? "" : ",").append(dataCentre.text());
+    m_log.belief("configuration_taken",
+        { { "version",
+              std::to_string(m_view.routes() ? m_view.routes()->configuration().version.value : 0) },
+            { "revision", std::to_string(m_operators.revision.value) }, { "evacuated", evacuated } });
+    onChanged();
+}
+
+void FleetFollower::updateRank()
+{
+    std::set<std::pair<uint64_t, std::string>> order;
+    order.emplace(hashOf(m_node.peers.ip), m_node.peers.ip);
+    std::vector<std::string> ips;
+    for (const BackendEntry& entry : m_view.backends()) {
+        order.emplace(hashOf(entry.address.ip), entry.address.ip);
+        ips.push_back(entry.address.ip);
+    }
+    uint32_t rank = 0;
+    for (const auto& [hash, ip] : order) {
+        if (ip == m_node.peers.ip)
+            break;
+        ++rank;
+    }
+    m_turn.setRank(rank);
+    m_peers.keepOnly(ips);
+}
+
+void FleetFollower::announce()
+{
+    PeerMessage message;
+    message.kind = PeerMessage::Kind::Announcement;
+    message.backends = m_backendsMark;
+    message.operators = m_operatorsMark;
+    message.age = age();
+    message.isSourceTroubled = isTroubled();
+    std::set<std::string> ips;
+    for (const BackendEntry& entry : m_view.backends())
+        ips.insert(entry.address.ip);
+    ips.erase(m_node.peers.ip);
+    for (const std::string& ip : ips)
+        m_peers.send(ip, message);
+}
+
+void FleetFollower::onAnnouncement(const std::string& ip, const PeerMessage& message)
+{
+    if (message.isSourceTroubled)
+        m_troubledAt = m_clock.now();
+    const bool needsBackends
+        = message.backends.revision > m_backendsMark.revision && message.backends.digest != m_backendsMark.digest;
+    const bool needsOperators
+        = message.operators.revision > m_operatorsMark.revision && message.operators.digest != m_operatorsMark.digest;
+    if (!needsBackends && message.backends.revision >= m_backendsMark.revision)
+        m_turn.onFresh(m_clock.now() - message.age);
+    if (needsBackends && !m_isFetchingBackends) {
+        m_isFetchingBackends = true;
+        asio::co_spawn(m_executor, fetch({ ip, m_node.peers.port }, true, message.isSourceTroubled), asio::detached);
+    }
+    if (needsOperators && !m_isFetchingOperators) {
+        m_isFetchingOperators = true;
+        asio::co_spawn(m_executor, fetch({ ip, m_node.peers.port }, false, false), asio::detached);
+    }
+}
+
+asio::awaitable<void> FleetFollower::fetch(Address from, bool isBackends, bool isSourceTroubled)
+{
+    const SteadyTime asOf = m_clock.now();
+    ++m_counters.fetches;
+    auto document = co_await fetchDocument(from, isBackends ? backendsPath : operatorsPath);
+    if (isBackends)
+        m_isFetchingBackends = false;
+    else
+        m_isFetchingOperators = false;
+    if (!document) {
+        m_log.belief("fetch_failed", { { "from", from.text() }, { "document", isBackends ? "backends" : "operators" } });
+        co_return;
+    }
+    if (isBackends) {
+        takeBackends(std::move(*document), isSourceTroubled);
+        m_turn.onFresh(asOf);
+    } else {
+        takeOperators(std::move(*document));
+    }
+}
+
+asio::awaitable<std::optional<SourceDocument>> FleetFollower::fetchDocument(
+    const Address& from, std::string_view path)
+{
+    const SteadyTime deadline = m_clock.now() + fetchTimeout;
+    auto connection = co_await m_pool.acquire(from, m_pool.settings().maxIdle, deadline);
+    if (!connection)
+        co_return std::nullopt;
+    HttpExchange exchange(m_pool, std::move(connection));
+    std::string head("GET ");
+    head.append(path).append(" HTTP/1.1\r\nHost: ").append(from.text()).append("\r\n\r\n");
+    if (co_await exchange.send(std::move(head), std::string(), deadline) != End::Complete
+        || co_await exchange.readHead(deadline) != End::Complete || exchange.status() != 200)
+        co_return std::nullopt;
+    SourceDocument document;
+    document.revision.value = parseUnsigned(exchange.field(revisionField)).value_or(0);
+    End end = End::More;
+    while (end == End::More)
+        end = co_await exchange.readBody(document.text, deadline);
+    if (end != End::Complete)
+        co_return std::nullopt;
+    co_return document;
+}
+
+asio::awaitable<void> FleetFollower::followBackends()
+{
+    asio::steady_timer timer(m_executor);
+    for (;;) {
+        const SteadyTime next = m_turn.nextRead();
+        if (next > m_clock.now()) {
+            timer.expires_at(next);
+            co_await timer.async_wait(asTuple);
+            continue;
+        }
+        if (m_view.expireMissing()) {
+            m_backendsMark.digest = digestOf(m_view);
+            updateRank();
+            onChanged();
+        }
+        const SteadyTime asOf = m_clock.now();
+        ++m_counters.sourceReads;
+        auto document = co_await m_source.readBackends();
+        if (!document) {
+            ++m_counters.sourceFailures;
+            m_troubledAt = m_clock.now();
+            m_turn.onReadFailed(m_clock.now());
+            if (!m_isSourceLost)
+                m_log.belief("source_lost", { { "age_ms", std::to_string(age().count()) } });
+            m_isSourceLost = true;
+            continue;
+        }
+        if (m_isSourceLost)
+            m_log.belief("source_regained", { { "age_ms", std::to_string(age().count()) } });
+        m_isSourceLost = false;
+        const bool wasReader = isReader();
+        m_readAt = m_clock.now();
+        m_turn.onReadSucceeded();
+        m_turn.onFresh(asOf);
+        takeBackends(std::move(*document), isTroubled());
+        if (!wasReader)
+            m_operatorTimer.cancel();
+        announce();
+    }
+}
+
+asio::awaitable<void> FleetFollower::followOperators()
+{
+    bool mustRead = true;
+    for (;;) {
+        if (!isReader() && m_view.routes()) {
+            m_operatorTimer.expires_after(readerMemory);
+            co_await m_operatorTimer.async_wait(asTuple);
+            mustRead = true;
+            continue;
+        }
+        std::optional<bool> hasChanged;
+        if (!mustRead) {
+            ++m_counters.sourceReads;
+            hasChanged = co_await m_source.watchOperators(m_operators.revision, operatorWait);
+        }
+        ++m_counters.sourceReads;
+        auto document = co_await m_source.readOperators();
+        mustRead = !document;
+        if (document) {
+            takeOperators(std::move(*document));
+            announce();
+        }
+        if (!document || !m_view.routes()) {
+            m_counters.sourceFailures += document ? 0 : 1;
+            m_operatorTimer.expires_after(operatorRetry);
+            co_await m_operatorTimer.async_wait(asTuple);
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/snipeweir/relay/HopCodec.cpp
@@ -0,0 +1,146 @@
+#include "snipeweir/relay/HopCodec.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/status.hpp>
+#include <sstream>
+
+namespace snipeweir::HopCodec {
+
+namespace {
+
+    constexpr std::string_view ownPrefix = "Snipeweir-";
+    constexpr std::string_view hopField = "Snipeweir-Hop";
+    constexpr std::string_view outcomeField = "Snipeweir-Outcome";
+    constexpr std::string_view runField = "Snipeweir-Run";
+
+    int64_t microseconds(std::chrono::nanoseconds time)
+    {
+        return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+    }
+
+    bool isOwn(std::string_view name)
+    {
+        return name.size() >= ownPrefix.size() && equalsIgnoringCase(name.substr(0, ownPrefix.size()), ownPrefix);
+    }
+
+}
+
+std::string statusLine(unsigned status)
+{
+    const auto reason = boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(status));
+    return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) + "\r\n";
+}
+
+void appendFields(std::string& head, const std::vector<HeaderField>& fields)
+{
+    for (const HeaderField& field : fields)
+        head.append(field.name).append(": ").append(field.value).append("\r\n");
+}
+
+std::vector<HeaderField> passedFields(
+    const CallerConnection::Request& request, const std::vector<std::string>& replaced)
+{
+    // Fields that the Connection field names concern one connection only.
+    const std::string connection(request[boost::beast::http::field::connection]);
+    std::vector<HeaderField> fields;
+    for (const auto& field : request) {
+        const std::string name(field.name_string());
+        const bool isReplaced = std::any_of(replaced.begin(), replaced.end(),
+            [&](const std::string& other) { return equalsIgnoringCase(name, other); });
+        const bool isNamed = boost::beast::http::token_list(connection).exists(name);
+        if (!isHopByHop(name) && !isOwn(name) && !isReplaced && !isNamed)
+            fields.push_back({ name, std::string(field.value()) });
+    }
+    return fields;
+}
+
+std::string requestHead(const RelayRequest& request, const std::string& callIdField, SteadyTime now)
+{
+    std::string head;
+    head.reserve(640);
+    head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    appendFields(head, request.headers);
+    head.append(callIdField).append(": ").append(request.id.text()).append("\r\n");
+    head.append(hopField).append(": ").append(request.service.text());
+    head.append(" ").append(request.instance).append(" ").append(request.callerService.text());
+    for (const int64_t number : { static_cast<int64_t>(request.kind), static_cast<int64_t>(request.priority),
+             microseconds(request.targetAt - now), microseconds(request.deadline - now), request.work.count() })
+        head.append(" ").append(std::to_string(number));
+    head.append("\r\nContent-Length: ").append(std::to_string(request.body.size())).append("\r\n\r\n");
+    return head;
+}
+
+std::optional<RelayRequest> decodeRequest(
+    CallerConnection::Request& message, const std::string& callIdField, SteadyTime now)
+{
+    const auto hop = message.find(std::string(hopField));
+    if (hop == message.end())
+        return std::nullopt;
+    std::istringstream fields { std::string(hop->value()) };
+    std::string service;
+    std::string instance;
+    std::string callerService;
+    int64_t kind = 0;
+    int64_t priority = 0;
+    int64_t targetLeft = 0;
+    int64_t deadlineLeft = 0;
+    int64_t work = 0;
+    fields >> service >> instance >> callerService >> kind >> priority >> targetLeft >> deadlineLeft >> work;
+    if (fields.fail() || kind < 0 || kind > static_cast<int64_t>(RouteKind::Download))
+        return std::nullopt;
+
+    RelayRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.headers = passedFields(message, { callIdField });
+    request.id = CallId(std::string(message[callIdField]));
+    request.body = std::move(message.body());
+    request.service = ServiceName(service);
+    request.instance = instance;
+    request.callerService = ServiceName(callerService);
+    request.kind = static_cast<RouteKind>(kind);
+    request.priority = static_cast<uint32_t>(priority);
+    request.targetAt = now + std::chrono::microseconds(targetLeft);
+    request.deadline = now + std::chrono::microseconds(deadlineLeft);
+    request.work = std::chrono::microseconds(work);
+    return request;
+}
+
+std::string answerHead(const Answer& answer)
+{
+    std::string head = statusLine(answer.kind == Answer::Kind::Served ? answer.status : 500);
+    appendFields(head, answer.headers);
+    head.append(outcomeField).append(": ").append(std::to_string(static_cast<int>(answer.kind)));
+    head.append(" ").append(reasonName(answer.reason)).append(answer.wasSent ? " 1\r\n" : " 0\r\n");
+    head.append(runField).append(": ").append(std::to_string(answer.run.count()));
+    head.append(" ").append(std::to_string(answer.slownessPercent)).append("\r\n");
+    return head;
+}
+
+std::optional<Answer> decodeAnswer(const HttpExchange& exchange)
+{
+    std::istringstream outcome { std::string(exchange.field(outcomeField)) };
+    int kind = -1;
+    std::string reason;
+    int wasSent = 1;
+    outcome >> kind >> reason >> wasSent;
+    if (outcome.fail() || kind < 0 || kind > static_cast<int>(Answer::Kind::Unknown))
+        return std::nullopt;
+    Answer answer;
+    answer.kind = static_cast<Answer::Kind>(kind);
+    answer.reason = reasonFromName(reason).value_or(Reason::None);
+    answer.wasSent = wasSent != 0;
+    std::istringstream run { std::string(exchange.field(runField)) };
+    int64_t time = 0;
+    run >> time >> answer.slownessPercent;
+    answer.run = std::chrono::microseconds(time);
+    if (answer.kind == Answer::Kind::Served) {
+        answer.status = exchange.status();
+        answer.headers = exchange.endToEndFields();
+        std::erase_if(answer.headers, [](const HeaderField& field) { return isOwn(field.name); });
+    }
+    return answer;
+}
+
+}
--- /dev/null
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -0,0 +1,198 @@
+#include "snipeweir/relay/HttpExchange.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <charconv>
+
+namespace snipeweir {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr size_t readChunkBytes = 32U << 10U;
+    constexpr uint32_t maxHeadBytes = 32U << 10U;
+
+}
+
+bool equalsIgnoringCase(std::string_view a, std::string_view b) { return beast::iequals(a, b); }
+
+std::optional<uint64_t> parseUnsigned(std::string_view text)
+{
+    uint64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+bool isHopByHop(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 9> names { "Connection", "Keep-Alive", "Proxy-Connection",
+        "Transfer-Encoding", "TE", "Trailer", "Upgrade", "Content-Length", "Expect" };
+    return std::any_of(
+        names.begin(), names.end(), [&](std::string_view hopByHop) { return equalsIgnoringCase(name, hopByHop); });
+}
+
+HttpExchange::HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection)
+    : m_pool(pool)
+    , m_connection(std::move(connection))
+    , m_wasReused(m_connection->isReused)
+{
+}
+
+HttpExchange::~HttpExchange() { finish(End::Broken); }
+
+HttpExchange::End HttpExchange::endOf(const error_code& error)
+{
+    return error == beast::error::timeout ? End::TimedOut : End::Broken;
+}
+
+HttpExchange::End HttpExchange::finish(End end)
+{
+    if (m_hasEnded)
+        return end;
+    m_hasEnded = true;
+    if (end == End::Complete && m_parser->keep_alive() && !m_parser->need_eof())
+        m_pool.release(std::move(m_connection));
+    m_connection.reset();
+    if (onEnd)
+        onEnd(end);
+    return end;
+}
+
+void HttpExchange::cancel()
+{
+    if (m_connection)
+        m_connection->stream.cancel();
+}
+
+asio::awaitable<HttpExchange::End> HttpExchange::send(std::string head, const std::string& body, SteadyTime deadline)
+{
+    m_isHeadRequest = head.compare(0, 5, "HEAD ") == 0;
+    m_connection->stream.expires_at(deadline);
+    const std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(body) };
+    const auto [error, count] = co_await asio::async_write(m_connection->stream, buffers, asTuple);
+    if (error)
+        co_return finish(endOf(error));
+    co_return End::Complete;
+}
+
+asio::awaitable<HttpExchange::End> HttpExchange::readHead(SteadyTime deadline)
+{
+    if (m_hasEnded)
+        co_return End::Broken;
+    m_connection->stream.expires_at(deadline);
+    do {
+        m_parser.emplace();
+        m_parser->header_limit(maxHeadBytes);
+        m_parser->body_limit(boost::none);
+        m_parser->skip(m_isHeadRequest);
+        const auto [error, count]
+            = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
+        m_hasAnswerBytes = m_hasAnswerBytes || m_parser->got_some();
+        if (error)
+            co_return finish(endOf(error));
+    } while (status() / 100 == 1);
+    noteKeepAlive();
+    co_return End::Complete;
+}
+
+void HttpExchange::noteKeepAlive()
+{
+    const std::string_view value = field("Keep-Alive");
+    const size_t position = value.find("timeout=");
+    if (position == std::string_view::npos)
+        return;
+    std::string_view seconds = value.substr(position + 8);
+    seconds = seconds.substr(0, seconds.find_first_of(", ;"));
+    if (const auto parsed = parseUnsigned(seconds))
+        m_connection->peerIdleTimeout = std::chrono::seconds(std::min<uint64_t>(*parsed, 3600));
+}
+
+asio::awaitable<error_code> HttpExchange::readSome(std::string& body, SteadyTime deadline)
+{
+    m_connection->stream.expires_at(deadline);
+    const size_t before = body.size();
+    body.resize(before + readChunkBytes);
+    auto& sink = m_parser->get().body();
+    sink.data = body.data() + before;
+    sink.size = readChunkBytes;
+    sink.more = false;
+    const auto [error, count]
+        = co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
+    body.resize(before + readChunkBytes - m_parser->get().body().size);
+    co_return error == http::error::need_buffer ? error_code() : error;
+}
+
+asio::awaitable<HttpExchange::End> HttpExchange::readBody(std::string& body, SteadyTime deadline)
+{
+    if (m_hasEnded)
+        co_return End::Broken;
+    if (m_parser->is_done())
+        co_return finish(End::Complete);
+    const error_code error = co_await readSome(body, deadline);
+    if (error)
+        co_return finish(endOf(error));
+    co_return m_parser->is_done() ? finish(End::Complete) : End::More;
+}
+
+asio::awaitable<HttpExchange::End> HttpExchange::skipBody(SteadyTime deadline)
+{
+    if (m_hasEnded || m_parser->need_eof())
+        co_return finish(End::Broken);
+    std::string ignored;
+    while (!m_parser->is_done()) {
+        ignored.clear();
+        const error_code error = co_await readSome(ignored, deadline);
+        if (error)
+            co_return finish(endOf(error));
+    }
+    co_return End::Complete;
+}
+
+asio::awaitable<HttpExchange::End> HttpExchange::readBodyUpTo(std::string& body, size_t atLeast, SteadyTime deadline)
+{
+    End end = End::More;
+    while (end == End::More && body.size() < atLeast)
+        end = co_await readBody(body, deadline);
+    co_return end;
+}
+
+unsigned HttpExchange::status() const { return m_parser->get().result_int(); }
+
+std::string_view HttpExchange::field(std::string_view name) const
+{
+    const auto value = m_parser->get()[name];
+    return { value.data(), value.size() };
+}
+
+bool HttpExchange::hasField(std::string_view name) const
+{
+    return m_parser->get().find(name) != m_parser->get().end();
+}
+
+std::vector<HeaderField> HttpExchange::endToEndFields() const
+{
+    std::vector<HeaderField> fields;
+    for (const auto& field : m_parser->get()) {
+        const auto name = field.name_string();
+        if (!isHopByHop({ name.data(), name.size() }))
+            fields.push_back({ std::string(name), std::string(field.value()) });
+    }
+    return fields;
+}
+
+std::optional<uint64_t> HttpExchange::contentLength() const
+{
+    if (m_parser->chunked() || m_parser->need_eof())
+        return std::nullopt;
+    return parseUnsigned(field("Content-Length"));
+}
+
+}
--- /dev/null
+++ b/snipeweir/relay/PeerMessage.cpp
@@ -0,0 +1,93 @@
+#include "snipeweir/relay/PeerMessage.h"
+
+#include "snipeweir/core/Cbor.h"
+
+namespace snipeweir {
+
+namespace {
+
+    void writeLoad(CborWriter& writer, const NodeLoad& load)
+    {
+        writer.writeText(load.instance).writeUnsigned(load.isAccepting ? 1 : 0).writeUnsigned(load.running);
+        writer.writeUnsigned(load.waiting).writeUnsigned(load.limit).writeUnsigned(load.slownessPercent);
+        writer.writeUnsigned(static_cast<uint64_t>(load.meanRun.count())).writeUnsigned(load.failurePercent);
+        writer.writeUnsigned(load.coldTokens);
+    }
+
+    NodeLoad readLoad(CborReader& reader)
+    {
+        const auto number = [&] { return static_cast<uint32_t>(reader.readUnsigned().value_or(0)); };
+        NodeLoad load;
+        load.instance = std::string(reader.readText().value_or(""));
+        load.isAccepting = number() != 0;
+        load.running = number();
+        load.waiting = number();
+        load.limit = number();
+        load.slownessPercent = number();
+        load.meanRun = std::chrono::microseconds(number());
+        load.failurePercent = number();
+        load.coldTokens = number();
+        return load;
+    }
+
+    DocumentMark readMark(CborReader& reader)
+    {
+        DocumentMark mark;
+        mark.revision = reader.readUnsigned().value_or(0);
+        mark.digest = reader.readUnsigned().value_or(0);
+        return mark;
+    }
+
+}
+
+std::string PeerMessage::encode() const
+{
+    CborWriter writer;
+    writer.writeUnsigned(static_cast<uint64_t>(kind));
+    switch (kind) {
+    case Kind::LoadQuery:
+        writer.writeUnsigned(nonce);
+        break;
+    case Kind::LoadReply:
+        writer.writeUnsigned(nonce);
+        writeLoad(writer, load);
+        break;
+    case Kind::Announcement:
+        writer.writeUnsigned(backends.revision).writeUnsigned(backends.digest);
+        writer.writeUnsigned(operators.revision).writeUnsigned(operators.digest);
+        writer.writeUnsigned(static_cast<uint64_t>(age.count())).writeUnsigned(isSourceTroubled ? 1 : 0);
+        break;
+    }
+    return writer.take();
+}
+
+std::optional<PeerMessage> PeerMessage::decode(std::string_view bytes)
+{
+    CborReader reader(bytes);
+    PeerMessage message;
+    switch (reader.readUnsigned().value_or(0)) {
+    case static_cast<uint64_t>(Kind::LoadQuery):
+        message.kind = Kind::LoadQuery;
+        message.nonce = reader.readUnsigned().value_or(0);
+        break;
+    case static_cast<uint64_t>(Kind::LoadReply):
+        message.kind = Kind::LoadReply;
+        message.nonce = reader.readUnsigned().value_or(0);
+        message.load = readLoad(reader);
+        break;
+    case static_cast<uint64_t>(Kind::Announcement):
+        message.kind = Kind::Announcement;
+        message.backends = readMark(reader);
+        message.operators = readMark(reader);
+        message.age = std::chrono::milliseconds(reader.readUnsigned().value_or(0));
+        message.isSourceTroubled = reader.readUnsigned().value_or(0) != 0;
+        break;
+    default:
+        return std::nullopt;
+    }
+    if (!reader.isComplete())
+        return std::nullopt;
+    return message;
+}
+
+}
--- /dev/null
+++ b/snipeweir/relay/Relay.cpp
@@ -0,0 +1,272 @@
+#include "snipeweir/relay/Relay.h"
+
+#include "snipeweir/relay/HopCodec.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <random>
+
+namespace snipeweir {
+
+namespace {
+
+    /// Connections that may wait to be accepted.
+    constexpr int listenBacklog = 1024;
+    /// Time for the platform to notice twice that this node is not ready, with one question a second.
+    constexpr std::chrono::milliseconds noticeTime { 2600 };
+    /// Kept of the grace period for ending the process.
+    constexpr std::chrono::milliseconds exitTime { 300 };
+    constexpr std::chrono::milliseconds finishStep { 50 };
+    constexpr std::chrono::milliseconds peerWriteTimeout { 5000 };
+
+    uint64_t randomSeed()
+    {
+        std::random_device device;
+        return (static_cast<uint64_t>(device()) << 32U) | device();
+    }
+
+    CallerLimits peerLimits()
+    {
+        CallerLimits limits;
+        limits.maxHeaderBytes = 64U << 10U;
+        limits.maxBodyBytes = 256U << 20U;
+        // Longer than the pool of the other node keeps a connection.
+        limits.idleTimeout = std::chrono::milliseconds(10'000);
+        return limits;
+    }
+
+}
+
+Result<asio::ip::tcp::acceptor> Relay::listen(asio::io_context& context, const Address& address)
+{
+    asio::ip::tcp::acceptor acceptor(context);
+    error_code error;
+    acceptor.open(asio::ip::tcp::v4(), error);
+    if (!error)
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(tcpEndpoint(address), error);
+    if (!error)
+        acceptor.listen(listenBacklog, error);
+    if (error)
+        return fail(ErrorCode::Unavailable, "Cannot listen on " + address.text() + ": " + error.message());
+    return acceptor;
+}
+
+Result<std::unique_ptr<Relay>> Relay::create(RelaySettings settings, WireNames names, const Clock& clock, JsonLog& log,
+    const std::function<FleetSource(asio::any_io_executor)>& makeSource)
+{
+    std::unique_ptr<Relay> relay(
+        new Relay(std::move(settings), std::move(names), clock, log, makeSource));
+    error_code error;
+    const asio::ip::udp::endpoint queryEndpoint(
+        asio::ip::make_address(relay->m_settings.peers.ip, error), relay->m_settings.queryPort);
+    if (!error)
+        relay->m_peers.bind(queryEndpoint, error);
+    if (error)
+        return fail(ErrorCode::Unavailable, "Cannot open the query port: " + error.message());
+    const Address metrics { relay->m_settings.readiness.ip, relay->m_settings.metricsPort };
+    for (const Address& address :
+        { relay->m_settings.callers, relay->m_settings.peers, relay->m_settings.readiness, metrics }) {
+        BOOST_LEAF_AUTO(acceptor, listen(relay->m_context, address));
+        relay->m_acceptors.push_back(std::move(acceptor));
+    }
+    return relay;
+}
+
+Relay::Relay(RelaySettings settings, WireNames names, const Clock& clock, JsonLog& log,
+    const std::function<FleetSource(asio::any_io_executor)>& makeSource)
+    : m_settings(std::move(settings))
+    , m_names(std::move(names))
+    , m_clock(clock)
+    , m_log(log)
+    , m_view(clock)
+    , m_peers(m_context.get_executor(), clock, PeerLoads::Settings())
+    , m_follower(m_context.get_executor(), clock, m_settings, makeSource(m_context.get_executor()), m_view, m_peers, log)
+    , m_server(m_context.get_executor(), clock, ServerPath::Settings(), m_settings, m_names, m_view, log)
+    , m_callers(m_context.get_executor(), clock, CallerPath::Settings(), m_settings, m_names, m_view, m_peers, m_server,
+          log, randomSeed())
+    , m_signals(m_context, SIGTERM, SIGHUP)
+{
+    m_peers.ownLoad = [this] { return m_server.load(); };
+    m_peers.onAnnouncement = [this](const std::string& ip, const PeerMessage& message) {
+        m_follower.onAnnouncement(ip, message);
+    };
+    m_follower.onChanged = [this] { m_server.onViewChanged(); };
+}
+
+bool Relay::isReady() const { return !m_isStopping && m_view.routes() && !m_view.backends().empty(); }
+
+void Relay::run()
+{
+    const auto start = [this](asio::awaitable<void> task) {
+        asio::co_spawn(m_context, std::move(task), [](const std::exception_ptr& failure) {
+            // A task ends by an exception only when an invariant is broken.
+            if (failure)
+                std::rethrow_exception(failure);
+        });
+    };
+    start(accept(m_acceptors[0], &Relay::serveCaller));
+    start(accept(m_acceptors[1], &Relay::servePeer));
+    start(accept(m_acceptors[2], &Relay::serveStatus));
+    start(accept(m_acceptors[3], &Relay::serveStatus));
+    start(m_peers.receive());
+    start(m_follower.followBackends());
+    start(m_follower.followOperators());
+    start(m_server.watchHealth());
+    start(waitForSignals());
+    m_context.run();
+}
+
+asio::awaitable<void> Relay::accept(asio::ip::tcp::acceptor& acceptor, Handler handler)
+{
+    while (acceptor.is_open()) {
+        auto [error, socket] = co_await acceptor.async_accept(asTuple);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            // Too many open files, most likely: let connections end before the next attempt.
+            m_log.belief("accept_failed", { { "error", error.message() } });
+            asio::steady_timer pause(m_context, std::chrono::milliseconds(20));
+            co_await pause.async_wait(asTuple);
+            continue;
+        }
+        asio::co_spawn(m_context, (this->*handler)(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> Relay::serveCaller(asio::ip::tcp::socket socket) { return m_callers.serve(std::move(socket)); }
+
+asio::awaitable<void> Relay::servePeer(asio::ip::tcp::socket socket)
+{
+    CallerConnection connection(std::move(socket));
+    while (connection.canGoOn() && co_await connection.read(peerLimits()) == CallerConnection::ReadEnd::Request) {
+        const std::string target(connection.request().target());
+        if (const SourceDocument* document = m_follower.document(target)) {
+            std::string head = HopCodec::statusLine(200);
+            head.append(FleetFollower::revisionField).append(": ");
+            head.append(std::to_string(document->revision.value)).append("\r\n");
+            const std::string text = document->text;
+            co_await connection.writeWhole(std::move(head), text, m_clock.now() + peerWriteTimeout);
+            continue;
+        }
+        ++m_peerRuns;
+        co_await runForPeer(connection);
+        --m_peerRuns;
+    }
+    connection.close();
+}
+
+asio::awaitable<void> Relay::runForPeer(CallerConnection& connection)
+{
+    auto request = HopCodec::decodeRequest(connection.request(), m_names.callId, m_clock.now());
+    if (!request) {
+        co_await connection.writeWhole(HopCodec::statusLine(404), std::string(), m_clock.now() + peerWriteTimeout);
+        co_return;
+    }
+    Answer answer = Answer::notRun(Reason::WrongEndpoint);
+    auto cancellation = std::make_shared<Cancellation>();
+    if (request->service == m_settings.service) {
+        connection.watchForLeave([cancellation] { cancellation->cancel(); });
+        answer = co_await m_server.run(*request, *cancellation);
+        connection.stopWatching();
+    }
+    std::string head = HopCodec::answerHead(answer);
+    const SteadyTime deadline = m_clock.now() + peerWriteTimeout;
+    if (answer.rest)
+        co_await connection.writeStreamed(
+            std::move(head), std::move(answer.body), *answer.rest, request->deadline + peerWriteTimeout, m_clock);
+    else
+        co_await connection.writeWhole(std::move(head), answer.body, deadline);
+}
+
+asio::awaitable<void> Relay::serveStatus(asio::ip::tcp::socket socket)
+{
+    CallerConnection connection(std::move(socket));
+    while (connection.canGoOn() && co_await connection.read(CallerLimits()) == CallerConnection::ReadEnd::Request) {
+        const std::string target(connection.request().target());
+        const SteadyTime deadline = m_clock.now() + peerWriteTimeout;
+        if (target == "/metrics")
+            co_await connection.writeWhole(HopCodec::statusLine(200) + "Content-Type: text/plain\r\n", metricsText(), deadline);
+        else if (target == m_names.readyPath)
+            co_await connection.writeWhole(HopCodec::statusLine(isReady() ? 200 : 503), std::string(), deadline);
+        else
+            co_await connection.writeWhole(HopCodec::statusLine(404), std::string(), deadline);
+    }
+    connection.close();
+}
+
+asio::awaitable<void> Relay::waitForSignals()
+{
+    for (;;) {
+        const auto [error, signal] = co_await m_signals.async_wait(asTuple);
+        if (error)
+            co_return;
+        if (signal == SIGHUP) {
+            m_log.belief("reload", {});
+            if (onReload)
+                onReload();
+            continue;
+        }
+        m_log.belief("stop", { { "in_flight", std::to_string(m_callers.inFlight()) } });
+        co_await finish();
+        co_return;
+    }
+}
+
+asio::awaitable<void> Relay::finish()
+{
+    m_isStopping = true;
+    m_server.stopTakingRequests();
+    m_callers.startDraining();
+    const SteadyTime start = m_clock.now();
+    const SteadyTime last = start + m_settings.stopGrace - exitTime;
+    asio::steady_timer timer(m_context);
+    while (m_clock.now() < last) {
+        timer.expires_after(finishStep);
+        co_await timer.async_wait(asTuple);
+        const bool isIdle = m_callers.inFlight() == 0 && m_peerRuns == 0;
+        if (isIdle && m_clock.now() >= start + noticeTime)
+            break;
+    }
+    m_log.belief("stopped", { { "in_flight", std::to_string(m_callers.inFlight() + m_peerRuns) } });
+    m_context.stop();
+}
+
+std::string Relay::metricsText() const
+{
+    std::string text;
+    const auto add = [&](std::string_view name, uint64_t value) {
+        text.append("snipeweir_").append(name).append(" ").append(std::to_string(value)).append("\n");
+    };
+    const CallerPath::Counters& callers = m_callers.counters();
+    add("requests_total", callers.requests);
+    add("served_total", callers.served);
+    add("refused_total", callers.refused);
+    add("failed_total", callers.failed);
+    add("callers_left_total", callers.left);
+    add("repeats_total", callers.repeats);
+    add("repeats_denied_total", callers.repeatsDenied);
+    add("offers_refused_total", callers.offersRefused);
+    const ServerPath::Counters& server = m_server.counters();
+    add("server_sent_total", server.sent);
+    add("server_refused_total", server.refused);
+    add("server_served_total", server.served);
+    add("server_unknown_total", server.unknown);
+    add("server_health_checks_total", server.healthChecks);
+    add("server_foreign_answers_total", server.foreignAnswers);
+    add("server_connections_total", m_server.openedConnections());
+    const FleetFollower::Counters& follower = m_follower.counters();
+    add("source_reads_total", follower.sourceReads);
+    add("source_failures_total", follower.sourceFailures);
+    add("fetches_total", follower.fetches);
+    add("view_age_milliseconds", static_cast<uint64_t>(m_follower.age().count()));
+    add("backends", m_view.backends().size());
+    add("log_lines_dropped_total", m_log.dropped());
+    return text;
+}
+
+}
--- /dev/null
+++ b/snipeweir/relay/ServerPath.cpp
@@ -0,0 +1,414 @@
+#include "snipeweir/relay/ServerPath.h"
+
+#include <algorithm>
+
+namespace snipeweir {
+
+namespace {
+
+    using End = HttpExchange::End;
+
+    /// Answers of other requests that are passed over before a connection is given up.
+    constexpr int maxForeignAnswers = 3;
+
+    std::string millisecondsLeft(SteadyTime deadline, SteadyTime now)
+    {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - now);
+        return std::to_string(std::max<int64_t>(1, left.count()));
+    }
+
+    void appendField(std::string& head, std::string_view name, std::string_view value)
+    {
+        head.append(name).append(": ").append(value).append("\r\n");
+    }
+
+}
+
+ServerPath::ServerPath(asio::any_io_executor executor, const Clock& clock, Settings settings, const RelaySettings& node,
+    const WireNames& names, const FleetView& view, JsonLog& log)
+    : m_executor(executor)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_node(node)
+    , m_names(names)
+    , m_view(view)
+    , m_log(log)
+    , m_gate(ServerGate::Settings(), clock)
+    , m_pool(executor, clock, ConnectionPool::Settings())
+    , m_gateTimer(executor)
+{
+    // Until a health answer says otherwise the server may have started a moment ago.
+    m_gate.setColdUnknown();
+}
+
+void ServerPath::onViewChanged()
+{
+    const BackendEntry* entry = m_view.findByAddress(m_node.backend);
+    Reason reason = Reason::None;
+    if (!m_view.routes())
+        reason = Reason::NoConfiguration;
+    else if (m_isStopping || (entry && entry->isDraining))
+        reason = Reason::Draining;
+    else if (!entry || entry->service != m_node.service)
+        reason = Reason::NoEndpoint;
+    else if (m_view.isEvacuated(entry->dataCentre) || m_view.isEvacuated(m_node.dataCentre))
+        reason = Reason::DataCentreOut;
+    if (entry)
+        m_gate.setSlots(entry->slots);
+    if (m_view.routes()) {
+        const auto& services = m_view.routes()->configuration().services;
+        const auto policy = services.find(m_node.service);
+        if (policy != services.end())
+            m_gate.setColdRate(policy->second.coldRequestsPerSecond);
+    }
+    if (reason != m_gate.closedReason())
+        m_log.belief("server_gate", { { "reason", std::string(reasonName(reason)) },
+                                        { "instance", entry ? entry->instance : std::string() },
+                                        { "revision", std::to_string(m_view.backendRevision().value) } });
+    m_gate.setClosed(reason);
+    advanceGate();
+}
+
+void ServerPath::stopTakingRequests()
+{
+    m_isStopping = true;
+    onViewChanged();
+}
+
+NodeLoad ServerPath::load() const
+{
+    NodeLoad load = m_gate.load();
+    const BackendEntry* entry = m_view.findByAddress(m_node.backend);
+    load.instance = entry ? entry->instance : std::string();
+    load.isAccepting = load.isAccepting && !m_isServerLost;
+    return load;
+}
+
+void ServerPath::advanceGate()
+{
+    for (const ServerGate::Decision& decision : m_gate.advance()) {
+        const auto waiter = m_waiters.find(decision.id);
+        if (waiter == m_waiters.end()) {
+            if (decision.verdict == ServerGate::Verdict::Admitted)
+                m_gate.onFinished(decision.id, ServerGate::RunResult::Cancelled, {});
+            continue;
+        }
+        waiter->second->decision = decision;
+        waiter->second->timer.cancel();
+    }
+    scheduleGate();
+}
+
+void ServerPath::scheduleGate()
+{
+    const auto next = m_gate.nextDecision();
+    if (!next || (m_gateTimerAt && *m_gateTimerAt <= *next && *m_gateTimerAt > m_clock.now()))
+        return;
+    m_gateTimerAt = next;
+    m_gateTimer.expires_at(*next);
+    m_gateTimer.async_wait([this](const error_code& error) {
+        if (error)
+            return;
+        m_gateTimerAt.reset();
+        advanceGate();
+    });
+}
+
+asio::awaitable<ServerGate::Decision> ServerPath::admit(const ServerGate::Ticket& ticket, Cancellation& cancellation)
+{
+    ServerGate::Decision decision = m_gate.offer(ticket);
+    if (decision.verdict != ServerGate::Verdict::Waiting)
+        co_return decision;
+
+    auto waiter = std::make_shared<Waiter>(m_executor);
+    m_waiters.emplace(ticket.id, waiter);
+    scheduleGate();
+    cancellation.setHook([waiter] { waiter->timer.cancel(); });
+    waiter->timer.expires_at(ticket.deadline);
+    co_await waiter->timer.async_wait(asTuple);
+    cancellation.setHook({});
+    m_waiters.erase(ticket.id);
+    if (waiter->decision)
+        co_return *waiter->decision;
+    m_gate.cancelWaiting(ticket.id);
+    const Reason reason = cancellation.isCancelled() ? Reason::CancelledBeforeStart : Reason::DeadlinePassed;
+    co_return ServerGate::Decision { ticket.id, ServerGate::Verdict::Refused, reason };
+}
+
+asio::awaitable<Answer> ServerPath::run(const RelayRequest& request, Cancellation& cancellation)
+{
+    if (m_isServerLost)
+        co_return Answer::notRun(Reason::BackendUnreachable);
+    const SteadyTime arrivedAt = m_clock.now();
+    ServerGate::Ticket ticket { m_nextTicket++, request.priority, request.targetAt, request.deadline, request.work };
+    const ServerGate::Decision decision = co_await admit(ticket, cancellation);
+    if (decision.verdict == ServerGate::Verdict::Refused) {
+        ++m_counters.refused;
+        const NodeLoad now = m_gate.load();
+        m_log.request(JsonLog::Weight::Refusal, "refused", request.id,
+            { { "reason", std::string(reasonName(decision.reason)) }, { "running", std::to_string(now.running) },
+                { "waiting", std::to_string(now.waiting) }, { "limit", std::to_string(now.limit) },
+                { "slowness", std::to_string(now.slownessPercent) } });
+        co_return Answer::notRun(decision.reason);
+    }
+
+    auto run = std::make_shared<Run>();
+    run->ticket = ticket.id;
+    run->startedAt = m_clock.now();
+    if (cancellation.isCancelled() || request.deadline <= run->startedAt) {
+        m_gate.onFinished(ticket.id, ServerGate::RunResult::Cancelled, {});
+        advanceGate();
+        co_return Answer::notRun(
+            cancellation.isCancelled() ? Reason::CancelledBeforeStart : Reason::DeadlinePassed);
+    }
+
+    const uint32_t slowness = m_gate.load().slownessPercent;
+    Answer answer = co_await exchange(request, cancellation, run);
+    answer.run = std::chrono::duration_cast<std::chrono::microseconds>(m_clock.now() - run->startedAt);
+    answer.slownessPercent = slowness;
+    if (answer.kind == Answer::Kind::Served)
+        ++m_counters.served;
+    else if (answer.kind == Answer::Kind::Unknown)
+        ++m_counters.unknown;
+    const bool isOdd = answer.kind != Answer::Kind::Served || answer.status >= 500;
+    m_log.request(isOdd ? JsonLog::Weight::Odd : JsonLog::Weight::Ordinary, "ran", request.id,
+        { { "status", std::to_string(answer.status) }, { "reason", std::string(reasonName(answer.reason)) },
+            { "run_us", std::to_string(answer.run.count()) },
+            { "queued_us",
+                std::to_string(
+                    std::chrono::duration_cast<std::chrono::microseconds>(run->startedAt - arrivedAt).count()) },
+            { "slowness", std::to_string(slowness) }, { "instance", request.instance } });
+    co_return answer;
+}
+
+std::string ServerPath::requestHead(const RelayRequest& request) const
+{
+    std::string head;
+    head.reserve(512);
+    head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    for (const HeaderField& field : request.headers)
+        appendField(head, field.name, field.value);
+    appendField(head, m_names.callId, request.id.text());
+    appendField(head, m_names.deadline, millisecondsLeft(request.deadline, m_clock.now()));
+    appendField(head, m_names.expectedInstance, request.instance);
+    appendField(head, m_names.callerService, request.callerService.text());
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD" && request.method != "DELETE"))
+        appendField(head, "Content-Length", std::to_string(request.body.size()));
+    head.append("\r\n");
+    return head;
+}
+
+asio::awaitable<std::shared_ptr<HttpExchange>> ServerPath::connect(const RelayRequest& request, bool mayReuse)
+{
+    std::chrono::milliseconds maxIdle { 0 };
+    if (mayReuse)
+        maxIdle = isRepeatable(request.kind) ? m_pool.settings().maxIdle : m_settings.maxIdleAtMostOnce;
+    auto connection = co_await m_pool.acquire(m_node.backend, maxIdle, request.deadline);
+    if (!connection)
+        co_return nullptr;
+    co_return std::make_shared<HttpExchange>(m_pool, std::move(connection));
+}
+
+asio::awaitable<Answer> ServerPath::exchange(
+    const RelayRequest& request, Cancellation& cancellation, const std::shared_ptr<Run>& run)
+{
+    const auto finishRun = [this, run](End end) {
+        ServerGate::RunResult result = ServerGate::RunResult::Succeeded;
+        if (run->isCancelled)
+            result = ServerGate::RunResult::Cancelled;
+        else if (run->wasNotRun)
+            result = ServerGate::RunResult::NotRun;
+        else if (run->hasFailed || end != End::Complete)
+            result = ServerGate::RunResult::Failed;
+        m_gate.onFinished(run->ticket, result,
+            std::chrono::duration_cast<std::chrono::microseconds>(m_clock.now() - run->startedAt));
+        asio::post(m_executor, [this] { advanceGate(); });
+    };
+
+    auto exchange = co_await connect(request, true);
+    if (!exchange) {
+        // The server refused the connection or is gone; it may come back cold.
+        run->hasFailed = true;
+        m_isServerLost = true;
+        m_instance.clear();
+        m_gate.setColdUnknown();
+        finishRun(End::Broken);
+        co_return Answer::notRun(Reason::BackendUnreachable);
+    }
+    if (cancellation.isCancelled()) {
+        run->isCancelled = true;
+        finishRun(End::Broken);
+        co_return Answer::notRun(Reason::CancelledBeforeStart);
+    }
+
+    for (;;) {
+        exchange->onEnd = finishRun;
+        cancellation.setHook([weak = std::weak_ptr<HttpExchange>(exchange), run] {
+            run->isCancelled = true;
+            if (auto current = weak.lock())
+                current->cancel();
+        });
+        ++m_counters.sent;
+        End end = co_await exchange->send(requestHead(request), request.body, request.deadline);
+        if (end == End::Complete)
+            end = co_await exchange->readHead(request.deadline);
+        const bool hasLostKeptConnection
+            = end == End::Broken && exchange->isReused() && !exchange->hasAnswerBytes() && !cancellation.isCancelled();
+        if (hasLostKeptConnection && isRepeatable(request.kind)) {
+            // The server had closed the kept connection; the slot stays taken while a new one is tried.
+            exchange->onEnd = {};
+            exchange = co_await connect(request, false);
+            if (!exchange) {
+                run->hasFailed = true;
+                finishRun(End::Broken);
+                cancellation.setHook({});
+                co_return Answer::unknown(Reason::ConnectionLost);
+            }
+            if (cancellation.isCancelled()) {
+                run->isCancelled = true;
+                finishRun(End::Broken);
+                co_return Answer::unknown(Reason::CancelledWhileRunning);
+            }
+            continue;
+        }
+        Answer answer;
+        if (cancellation.isCancelled())
+            answer = Answer::unknown(Reason::CancelledWhileRunning);
+        else if (end == End::TimedOut)
+            answer = Answer::unknown(Reason::DeadlineWhileRunning);
+        else if (end != End::Complete)
+            answer = Answer::unknown(Reason::ConnectionLost);
+        else
+            answer = co_await readAnswer(request, exchange, *run);
+        cancellation.setHook({});
+        co_return answer;
+    }
+}
+
+asio::awaitable<Answer> ServerPath::readAnswer(const RelayRequest& request, const std::shared_ptr<HttpExchange>& exchange, Run& run)
+{
+    // An answer that names another request belongs to an earlier one; the own answer follows it.
+    for (int foreign = 0;; ++foreign) {
+        const std::string_view id = exchange->field(m_names.callId);
+        if (id == request.id.text())
+            break;
+        const bool isAnonymousRefusal
+            = id.empty() && (exchange->hasField(m_names.notRun) || exchange->status() == 421) && !exchange->isReused();
+        if (isAnonymousRefusal)
+            break;
+        ++m_counters.foreignAnswers;
+        if (foreign == maxForeignAnswers || id.empty() || co_await exchange->skipBody(request.deadline) != End::Complete
+            || co_await exchange->readHead(request.deadline) != End::Complete) {
+            run.hasFailed = true;
+            co_return Answer::unknown(Reason::AnswerCutShort);
+        }
+    }
+    noteLoad(*exchange);
+
+    const unsigned status = exchange->status();
+    if (status == 421 || exchange->hasField(m_names.notRun)) {
+        run.wasNotRun = true;
+        std::string ignored;
+        while (co_await exchange->readBody(ignored, request.deadline) == End::More)
+            ignored.clear();
+        if (status == 421)
+            m_instance.clear();
+        co_return Answer::notRun(status == 421 ? Reason::WrongEndpoint : Reason::BackendShed, true);
+    }
+    const bool isSuccess = status / 100 == 2;
+    const bool claimsNotRun = status == 408 || status == 429 || status == 503;
+    if (claimsNotRun || exchange->hasField("Content-Encoding")
+        || (isSuccess && !exchange->hasField(m_names.signature))) {
+        run.hasFailed = true;
+        co_return Answer::unknown(Reason::AnswerCutShort);
+    }
+
+    Answer answer;
+    answer.kind = Answer::Kind::Served;
+    answer.wasSent = true;
+    answer.status = status;
+    answer.headers = exchange->endToEndFields();
+    run.hasFailed = status >= 500;
+    const End end = co_await exchange->readBodyUpTo(answer.body, m_settings.collectedBytes, request.deadline);
+    if (end == End::More)
+        answer.rest = exchange;
+    else if (end != End::Complete)
+        co_return Answer::unknown(end == End::TimedOut ? Reason::DeadlineWhileRunning : Reason::AnswerCutShort);
+    co_return answer;
+}
+
+void ServerPath::noteLoad(HttpExchange& exchange)
+{
+    m_isServerLost = false;
+    if (!m_names.parseLoad)
+        return;
+    const auto reported = m_names.parseLoad(exchange.field(m_names.load));
+    if (!reported)
+        return;
+    m_loadAt = m_clock.now();
+    m_gate.setSlowness(reported->slownessPercent);
+}
+
+asio::awaitable<void> ServerPath::watchHealth()
+{
+    asio::steady_timer timer(m_executor);
+    bool wasHealthy = true;
+    for (;;) {
+        // Answers to requests bring the load as well, but only a health answer says that the server turned cold.
+        const auto interval = m_clock.now() - m_loadAt < m_settings.healthInterval / 2 ? m_settings.healthInterval * 3 / 2
+                                                                                       : m_settings.healthInterval;
+        timer.expires_after(interval);
+        co_await timer.async_wait(asTuple);
+        if (!m_view.routes() || m_isStopping)
+            continue;
+        const bool isHealthy = co_await checkHealth();
+        if (isHealthy != wasHealthy)
+            m_log.belief("server_health", { { "healthy", isHealthy ? "true" : "false" }, { "instance", m_instance } });
+        wasHealthy = isHealthy;
+        m_pool.closeIdle();
+    }
+}
+
+asio::awaitable<bool> ServerPath::checkHealth()
+{
+    const SteadyTime deadline = m_clock.now() + m_settings.healthTimeout;
+    const auto& services = m_view.routes()->configuration().services;
+    const auto policy = services.find(m_node.service);
+    const std::string path = policy == services.end() ? ServicePolicy().healthPath : policy->second.healthPath;
+
+    auto connection = co_await m_pool.acquire(m_node.backend, m_pool.settings().maxIdle, deadline);
+    if (!connection) {
+        if (!m_isServerLost)
+            m_log.belief("server_lost", { { "instance", m_instance } });
+        m_isServerLost = true;
+        m_instance.clear();
+        m_gate.setColdUnknown();
+        co_return false;
+    }
+    HttpExchange exchange(m_pool, std::move(connection));
+    ++m_counters.healthChecks;
+    std::string head = "GET " + path + " HTTP/1.1\r\n";
+    appendField(head, "Host", m_node.backend.text());
+    head.append("\r\n");
+    if (co_await exchange.send(std::move(head), std::string(), deadline) != End::Complete
+        || co_await exchange.readHead(deadline) != End::Complete)
+        co_return false;
+    noteLoad(exchange);
+    const std::string instance(exchange.field(m_names.instance));
+    const auto cold = parseUnsigned(exchange.field(m_names.coldRemaining));
+    const bool isHealthy = exchange.status() == 200;
+    std::string body;
+    while (co_await exchange.readBody(body, deadline) == End::More)
+        body.clear();
+    if (!instance.empty()) {
+        if (instance != m_instance)
+            m_log.belief("server_instance", { { "instance", instance }, { "before", m_instance },
+                                                { "cold_ms", std::to_string(cold.value_or(0)) } });
+        m_instance = instance;
+        m_gate.setCold(std::chrono::milliseconds(std::min<uint64_t>(cold.value_or(0), 60'000)));
+        advanceGate();
+    }
+    co_return isHealthy;
+}
+
+}
--- a/snipeweir/retry/RetryBudget.cpp
+++ b/snipeweir/retry/RetryBudget.cpp
@@ -7,17 +7,14 @@
 namespace {
 
     constexpr int64_t token = 100;
-    /// Enough for the first calls of a new node to pass a full endpoint; negligible for a service in trouble.
-    constexpr int64_t advance = 3 * token;
-    /// Bounds the burst after a long time without trouble.
-    constexpr int64_t maxBalance = 10 * token;
 
 }
 
-RetryBudget::RetryBudget(uint32_t percent)
+RetryBudget::RetryBudget(uint32_t percent, Limits limits)
     : m_percent(percent)
-    , m_balance(advance)
-    , m_debt(advance)
+    , m_maxBalance(limits.maxBalance * token)
+    , m_balance(limits.advance * token)
+    , m_debt(limits.advance * token)
 {
 }
 
@@ -25,7 +22,7 @@
 {
     const int64_t repaid = std::min(m_debt, m_percent);
     m_debt -= repaid;
-    m_balance = std::min(maxBalance, m_balance + m_percent - repaid);
+    m_balance = std::min(m_maxBalance, m_balance + m_percent - repaid);
 }
 
 bool RetryBudget::take()
--- a/snipeweir/retry/RetryBudget.h
+++ b/snipeweir/retry/RetryBudget.h
@@ -9,8 +9,22 @@
 /// second tries never exceed max(advance, percent of first tries). Not safe for concurrent use.
 class RetryBudget {
 public:
+    /// Whole tokens. The defaults suit a budget of one node's own.
+    struct Limits {
+        /// Enough for the first calls of a new node to pass a full endpoint; negligible for a service in trouble.
+        uint32_t advance = 3;
+        /// Bounds the burst after a long time without trouble.
+        uint32_t maxBalance = 10;
+    };
+
     /// @param percent Second tries per hundred first tries.
-    explicit RetryBudget(uint32_t percent);
+    explicit RetryBudget(uint32_t percent)
+        : RetryBudget(percent, Limits())
+    {
+    }
+
+    /// @param limits Advance and bound of the balance; smaller where many nodes share one budget.
+    RetryBudget(uint32_t percent, Limits limits);
 
     void setPercent(uint32_t percent) { m_percent = percent; }
 
@@ -25,6 +39,7 @@
 
 private:
     int64_t m_percent;
+    int64_t m_maxBalance;
     int64_t m_balance;
     int64_t m_debt;
 };
