Answer readiness questions and refuse requests late in a planned stop

Cause: a temporary in a coroutine's loop condition kept the status listener from ever answering; a node that was stopped took requests until its end.

--- a/snipeweir/relay/CallerConnection.cpp
+++ b/snipeweir/relay/CallerConnection.cpp
@@ -41,7 +41,7 @@
     return beast::get_lowest_layer(m_stream).socket().remote_endpoint(ignored).address().to_string();
 }
 
-asio::awaitable<CallerConnection::ReadEnd> CallerConnection::read(const CallerLimits& limits)
+asio::awaitable<CallerConnection::ReadEnd> CallerConnection::read(CallerLimits limits)
 {
     m_request.reset();
     if (m_buffer.size() == 0) {
--- a/snipeweir/relay/CallerConnection.h
+++ b/snipeweir/relay/CallerConnection.h
@@ -24,7 +24,7 @@
     explicit CallerConnection(asio::ip::tcp::socket socket);
 
     /// Waits for the next request and reads it whole.
-    asio::awaitable<ReadEnd> read(const CallerLimits&);
+    asio::awaitable<ReadEnd> read(CallerLimits);
 
     Request& request() { return *m_request; }
 
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -111,8 +111,8 @@
     call->startedAt = m_clock.now();
     call->routes = m_view.routes();
     const std::string id(message[m_names.callId]);
-    if (!call->routes) {
-        co_await writeOwn(connection, 503, id, Reason::NoConfiguration);
+    if (!call->routes || m_isStopped) {
+        co_await writeOwn(connection, 503, id, m_isStopped ? Reason::Draining : Reason::NoConfiguration);
         co_return;
     }
     const std::string_view target(message.target().data(), message.target().size());
--- a/snipeweir/relay/CallerPath.h
+++ b/snipeweir/relay/CallerPath.h
@@ -48,6 +48,9 @@
     /// Asks callers to open new connections elsewhere.
     void startDraining() { m_isDraining = true; }
 
+    /// Refuses new requests; those in flight go on.
+    void stopTakingRequests() { m_isStopped = true; }
+
     /// @return Requests being served.
     size_t inFlight() const { return m_inFlight; }
 
@@ -86,6 +89,7 @@
     Counters m_counters;
     size_t m_inFlight = 0;
     bool m_isDraining = false;
+    bool m_isStopped = false;
 };
 
 }
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -18,7 +18,9 @@
     /// Time for the platform to notice twice that this node is not ready, with one question a second.
     constexpr std::chrono::milliseconds noticeTime { 2600 };
     /// Kept of the grace period for ending the process.
-    constexpr std::chrono::milliseconds exitTime { 300 };
+    constexpr std::chrono::milliseconds exitTime { 700 };
+    /// Callers that still send after this time are refused, so that no request is cut off at the end of the grace.
+    constexpr std::chrono::milliseconds lastAcceptance { 3200 };
     constexpr std::chrono::milliseconds finishStep { 50 };
     constexpr std::chrono::milliseconds peerWriteTimeout { 5000 };
 
@@ -143,7 +145,10 @@
 asio::awaitable<void> Relay::servePeer(asio::ip::tcp::socket socket)
 {
     CallerConnection connection(std::move(socket));
-    while (connection.canGoOn() && co_await connection.read(peerLimits()) == CallerConnection::ReadEnd::Request) {
+    while (connection.canGoOn()) {
+        const auto end = co_await connection.read(peerLimits());
+        if (end != CallerConnection::ReadEnd::Request)
+            break;
         const std::string target(connection.request().target());
         if (const SourceDocument* document = m_follower.document(target)) {
             std::string head = HopCodec::statusLine(200);
@@ -186,15 +191,21 @@
 asio::awaitable<void> Relay::serveStatus(asio::ip::tcp::socket socket)
 {
     CallerConnection connection(std::move(socket));
-    while (connection.canGoOn() && co_await connection.read(CallerLimits()) == CallerConnection::ReadEnd::Request) {
+    while (connection.canGoOn()) {
+        const auto end = co_await connection.read(CallerLimits());
+        if (end != CallerConnection::ReadEnd::Request)
+            break;
         const std::string target(connection.request().target());
         const SteadyTime deadline = m_clock.now() + peerWriteTimeout;
-        if (target == "/metrics")
-            co_await connection.writeWhole(HopCodec::statusLine(200) + "Content-Type: text/plain\r\n", metricsText(), deadline);
-        else if (target == m_names.readyPath)
-            co_await connection.writeWhole(HopCodec::statusLine(isReady() ? 200 : 503), std::string(), deadline);
-        else
-            co_await connection.writeWhole(HopCodec::statusLine(404), std::string(), deadline);
+        unsigned status = 404;
+        std::string body;
+        if (target == "/metrics") {
+            status = 200;
+            body = metricsText();
+        } else if (target == m_names.readyPath) {
+            status = isReady() ? 200 : 503;
+        }
+        co_await connection.writeWhole(HopCodec::statusLine(status), body, deadline);
     }
     connection.close();
 }
@@ -228,6 +239,8 @@
     while (m_clock.now() < last) {
         timer.expires_after(finishStep);
         co_await timer.async_wait(asTuple);
+        if (m_clock.now() >= start + lastAcceptance)
+            m_callers.stopTakingRequests();
         const bool isIdle = m_callers.inFlight() == 0 && m_peerRuns == 0;
         if (isIdle && m_clock.now() >= start + noticeTime)
             break;
