--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -12,8 +12,10 @@
 
     using End = HttpExchange::End;
 
-    /// Entries may be missing for this long after the source was out of order.
-    constexpr std::chrono::milliseconds troubleMemory { 3000 };
+    /// A backend server's entry lapses after several seconds of silence, so that a shorter outage makes none lapse.
+    constexpr std::chrono::milliseconds outageLeast { 2500 };
+    /// Entries may be missing for this long after an outage.
+    constexpr std::chrono::milliseconds outageMemory { 3000 };
     /// A node that read this recently follows the operators' documents as well.
     constexpr std::chrono::milliseconds readerMemory { 1500 };
     /// Bounds how long a change could stay unseen if a watch misses it.
@@ -60,7 +62,14 @@
 
 bool FleetFollower::isReader() const { return m_clock.now() - m_readAt < readerMemory; }
 
-bool FleetFollower::isTroubled() const { return m_clock.now() - m_troubledAt < troubleMemory; }
+bool FleetFollower::isAfterOutage() const { return m_clock.now() - m_outageAt < outageMemory; }
+
+void FleetFollower::onFresh(SteadyTime asOf)
+{
+    if (m_turn.freshAt() != SteadyTime {} && asOf - m_turn.freshAt() > outageLeast)
+        m_outageAt = m_clock.now();
+    m_turn.onFresh(asOf);
+}
 
 const SourceDocument* FleetFollower::document(std::string_view path) const
 {
@@ -71,13 +80,13 @@
     return nullptr;
 }
 
-void FleetFollower::takeBackends(SourceDocument document, bool isSourceTroubled)
+void FleetFollower::takeBackends(SourceDocument document)
 {
     if (document.revision < m_backends.revision)
         return;
     BackendList list = m_source.decodeBackends(document);
     list.revision = document.revision;
-    const bool isChanged = m_view.takeBackends(std::move(list), isSourceTroubled);
+    const bool isChanged = m_view.takeBackends(std::move(list), isAfterOutage());
     m_backends = std::move(document);
     m_backendsMark.revision = m_backends.revision.value;
     if (!isChanged)
@@ -139,7 +148,6 @@
     message.backends = m_backendsMark;
     message.operators = m_operatorsMark;
     message.age = age();
-    message.isSourceTroubled = isTroubled();
     std::set<std::string> ips;
     for (const BackendEntry& entry : m_view.backends())
         ips.insert(entry.address.ip);
@@ -150,25 +158,23 @@
 
 void FleetFollower::onAnnouncement(const std::string& ip, const PeerMessage& message)
 {
-    if (message.isSourceTroubled)
-        m_troubledAt = m_clock.now();
     const bool needsBackends
         = message.backends.revision > m_backendsMark.revision && message.backends.digest != m_backendsMark.digest;
     const bool needsOperators
         = message.operators.revision > m_operatorsMark.revision && message.operators.digest != m_operatorsMark.digest;
     if (!needsBackends && message.backends.revision >= m_backendsMark.revision)
-        m_turn.onFresh(m_clock.now() - message.age);
+        onFresh(m_clock.now() - message.age);
     if (needsBackends && !m_isFetchingBackends) {
         m_isFetchingBackends = true;
-        asio::co_spawn(m_executor, fetch({ ip, m_node.peers.port }, true, message.isSourceTroubled), asio::detached);
+        asio::co_spawn(m_executor, fetch({ ip, m_node.peers.port }, true), asio::detached);
     }
     if (needsOperators && !m_isFetchingOperators) {
         m_isFetchingOperators = true;
-        asio::co_spawn(m_executor, fetch({ ip, m_node.peers.port }, false, false), asio::detached);
+        asio::co_spawn(m_executor, fetch({ ip, m_node.peers.port }, false), asio::detached);
     }
 }
 
-asio::awaitable<void> FleetFollower::fetch(Address from, bool isBackends, bool isSourceTroubled)
+asio::awaitable<void> FleetFollower::fetch(Address from, bool isBackends)
 {
     const SteadyTime asOf = m_clock.now();
     ++m_counters.fetches;
@@ -182,8 +188,8 @@
         co_return;
     }
     if (isBackends) {
-        takeBackends(std::move(*document), isSourceTroubled);
-        m_turn.onFresh(asOf);
+        onFresh(asOf);
+        takeBackends(std::move(*document));
     } else {
         takeOperators(std::move(*document));
     }
@@ -216,23 +222,22 @@
 {
     asio::steady_timer timer(m_executor);
     for (;;) {
+        if (m_view.expireMissing()) {
+            m_backendsMark.digest = digestOf(m_view);
+            updateRank();
+            onChanged();
+        }
         const SteadyTime next = m_turn.nextRead();
         if (next > m_clock.now()) {
             timer.expires_at(next);
             co_await timer.async_wait(asTuple);
             continue;
         }
-        if (m_view.expireMissing()) {
-            m_backendsMark.digest = digestOf(m_view);
-            updateRank();
-            onChanged();
-        }
         const SteadyTime asOf = m_clock.now();
         ++m_counters.sourceReads;
         auto document = co_await m_source.readBackends();
         if (!document) {
             ++m_counters.sourceFailures;
-            m_troubledAt = m_clock.now();
             m_turn.onReadFailed(m_clock.now());
             if (!m_isSourceLost)
                 m_log.belief("source_lost", { { "age_ms", std::to_string(age().count()) } });
@@ -245,8 +250,8 @@
         const bool wasReader = isReader();
         m_readAt = m_clock.now();
         m_turn.onReadSucceeded();
-        m_turn.onFresh(asOf);
-        takeBackends(std::move(*document), isTroubled());
+        onFresh(asOf);
+        takeBackends(std::move(*document));
         if (!wasReader)
             m_operatorTimer.cancel();
         announce();
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -45,13 +45,15 @@
     static constexpr std::string_view revisionField = "Snipeweir-Revision";
 
 private:
-    void takeBackends(SourceDocument, bool isTroubled);
+    void takeBackends(SourceDocument);
     void takeOperators(SourceDocument);
+    /// Notes that the view was current at a time.
+    void onFresh(SteadyTime asOf);
     void updateRank();
     void announce();
     bool isReader() const;
-    bool isTroubled() const;
-    asio::awaitable<void> fetch(Address from, bool isBackends, bool isTroubled);
+    bool isAfterOutage() const;
+    asio::awaitable<void> fetch(Address from, bool isBackends);
     asio::awaitable<std::optional<SourceDocument>> fetchDocument(const Address& from, std::string_view path);
 
     asio::any_io_executor m_executor;
@@ -70,7 +72,7 @@
     DocumentMark m_backendsMark;
     DocumentMark m_operatorsMark;
     SteadyTime m_readAt {};
-    SteadyTime m_troubledAt {};
+    SteadyTime m_outageAt {};
     bool m_isSourceLost = false;
     bool m_isFetchingBackends = false;
     bool m_isFetchingOperators = false;
--- a/snipeweir/relay/PeerMessage.cpp
+++ b/snipeweir/relay/PeerMessage.cpp
@@ -55,7 +55,7 @@
     case Kind::Announcement:
         writer.writeUnsigned(backends.revision).writeUnsigned(backends.digest);
         writer.writeUnsigned(operators.revision).writeUnsigned(operators.digest);
-        writer.writeUnsigned(static_cast<uint64_t>(age.count())).writeUnsigned(isSourceTroubled ? 1 : 0);
+        writer.writeUnsigned(static_cast<uint64_t>(age.count()));
         break;
     }
     return writer.take();
@@ -80,7 +80,6 @@
         message.backends = readMark(reader);
         message.operators = readMark(reader);
         message.age = std::chrono::milliseconds(reader.readUnsigned().value_or(0));
-        message.isSourceTroubled = reader.readUnsigned().value_or(0) != 0;
         break;
     default:
         return std::nullopt;
--- a/snipeweir/relay/PeerMessage.h
+++ b/snipeweir/relay/PeerMessage.h
@@ -32,8 +32,6 @@
     DocumentMark operators;
     /// Age of the sender's view of the backend servers.
     std::chrono::milliseconds age { 0 };
-    /// Whether the source was out of order shortly before.
-    bool isSourceTroubled = false;
 
     std::string encode() const;
 
