--- a/snipeweir/fleet/ReadTurn.h
+++ b/snipeweir/fleet/ReadTurn.h
@@ -14,14 +14,16 @@
 public:
     struct Settings {
         /// Age of the view at which the node of rank 0 reads. A change must be in force within two seconds, of which
-        /// reading, announcing and pulling may take three such periods.
-        std::chrono::milliseconds period { 400 };
+        /// reading, announcing and fetching may take as long again.
+        std::chrono::milliseconds period { 700 };
         /// Extra age for each rank. Longer than a read and its announcement take.
         std::chrono::milliseconds step { 150 };
         /// Ranks beyond this one share its threshold, so that the last node still reads in time.
-        uint32_t maxRank = 4;
+        uint32_t maxRank = 7;
         /// Longest pause after failed reads: a source that returns is noticed within it.
         std::chrono::milliseconds maxBackoff { 1600 };
+        /// A node that starts waits this long for an announcement, since all may start at once.
+        std::chrono::milliseconds startDelay { 100 };
     };
 
     explicit ReadTurn(Settings settings)
@@ -29,6 +31,9 @@
     {
     }
 
+    /// @param extra Time by which this node's first read is put off beyond the start delay, random in the fleet.
+    void start(SteadyTime now, std::chrono::milliseconds extra) { m_notBefore = now + m_settings.startDelay + extra; }
+
     /// @param rank Position of this node among all nodes, from zero.
     void setRank(uint32_t rank) { m_rank = rank; }
 
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -18,10 +18,17 @@
     constexpr std::chrono::milliseconds outageMemory { 3000 };
     /// A node that read this recently follows the operators' documents as well.
     constexpr std::chrono::milliseconds readerMemory { 1500 };
-    /// Bounds how long a change could stay unseen if a watch misses it.
-    constexpr std::chrono::milliseconds operatorWait { 2500 };
+    /// A watch is answered by then; bounds how long a change stays unseen if the watch misses it.
+    constexpr std::chrono::milliseconds operatorWait { 5000 };
     constexpr std::chrono::milliseconds operatorRetry { 300 };
     constexpr std::chrono::milliseconds fetchTimeout { 1500 };
+    /// Spread of the first reads of nodes that start together.
+    constexpr uint64_t startSpreadMs = 1200;
+    /// Nodes that fetch a document from the same node; the others fetch it from them, so that a large document does
+    /// not wait for one slow link.
+    constexpr size_t fanOut = 8;
+    /// Time for one level of that tree to receive a document.
+    constexpr std::chrono::milliseconds levelDelay { 120 };
 
     uint64_t hashOf(std::string_view text) { return XXH64(text.data(), text.size(), 0); }
 
@@ -53,6 +60,7 @@
     , m_turn(ReadTurn::Settings())
     , m_operatorTimer(executor)
 {
+    m_turn.start(clock.now(), std::chrono::milliseconds(hashOf(node.peers.ip) % startSpreadMs));
 }
 
 std::chrono::milliseconds FleetFollower::age() const
@@ -131,13 +139,11 @@
         order.emplace(hashOf(entry.address.ip), entry.address.ip);
         ips.push_back(entry.address.ip);
     }
-    uint32_t rank = 0;
-    for (const auto& [hash, ip] : order) {
-        if (ip == m_node.peers.ip)
-            break;
-        ++rank;
-    }
-    m_turn.setRank(rank);
+    m_order.clear();
+    for (const auto& [hash, ip] : order)
+        m_order.push_back(ip);
+    m_turn.setRank(static_cast<uint32_t>(
+        std::find(m_order.begin(), m_order.end(), m_node.peers.ip) - m_order.begin()));
     m_peers.keepOnly(ips);
 }
 
@@ -166,19 +172,39 @@
         onFresh(m_clock.now() - message.age);
     if (needsBackends && !m_isFetchingBackends) {
         m_isFetchingBackends = true;
-        asio::co_spawn(m_executor, fetch({ ip, m_node.peers.port }, true), asio::detached);
+        asio::co_spawn(m_executor, fetch({ ip, m_node.peers.port }, message.backends, true), asio::detached);
     }
     if (needsOperators && !m_isFetchingOperators) {
         m_isFetchingOperators = true;
-        asio::co_spawn(m_executor, fetch({ ip, m_node.peers.port }, false), asio::detached);
+        asio::co_spawn(m_executor, fetch({ ip, m_node.peers.port }, message.operators, false), asio::detached);
     }
 }
 
-asio::awaitable<void> FleetFollower::fetch(Address from, bool isBackends)
+std::string FleetFollower::fetchParent(const std::string& announcer) const
+{
+    std::vector<std::string> order = m_order;
+    std::erase(order, announcer);
+    const auto own = static_cast<size_t>(std::find(order.begin(), order.end(), m_node.peers.ip) - order.begin());
+    return own < fanOut || own >= order.size() ? announcer : order[own / fanOut - 1];
+}
+
+asio::awaitable<void> FleetFollower::fetch(Address from, DocumentMark mark, bool isBackends)
 {
     const SteadyTime asOf = m_clock.now();
     ++m_counters.fetches;
-    auto document = co_await fetchDocument(from, isBackends ? backendsPath : operatorsPath);
+    const std::string_view path = isBackends ? backendsPath : operatorsPath;
+    std::optional<SourceDocument> document;
+    const std::string parent = fetchParent(from.ip);
+    if (parent != from.ip) {
+        asio::steady_timer timer(m_executor, levelDelay);
+        co_await timer.async_wait(asTuple);
+        const Address parentAddress { parent, from.port };
+        document = co_await fetchDocument(parentAddress, path);
+        if (document && document->revision.value < mark.revision)
+            document.reset();
+    }
+    if (!document)
+        document = co_await fetchDocument(from, path);
     if (isBackends)
         m_isFetchingBackends = false;
     else
@@ -260,9 +286,11 @@
 
 asio::awaitable<void> FleetFollower::followOperators()
 {
+    constexpr int quietWaitsTrusted = 2;
+    int quietWaits = 0;
     bool mustRead = true;
     for (;;) {
-        if (!isReader() && m_view.routes()) {
+        if (!isReader()) {
             m_operatorTimer.expires_after(readerMemory);
             co_await m_operatorTimer.async_wait(asTuple);
             mustRead = true;
@@ -272,7 +300,11 @@
         if (!mustRead) {
             ++m_counters.sourceReads;
             hasChanged = co_await m_source.watchOperators(m_operators.revision, operatorWait);
+            // A wait without an event needs no read, unless several in a row might hide a missed one.
+            if (hasChanged && !*hasChanged && ++quietWaits < quietWaitsTrusted)
+                continue;
         }
+        quietWaits = 0;
         ++m_counters.sourceReads;
         auto document = co_await m_source.readOperators();
         mustRead = !document;
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -53,7 +53,9 @@
     void announce();
     bool isReader() const;
     bool isAfterOutage() const;
-    asio::awaitable<void> fetch(Address from, bool isBackends);
+    /// @return IP address of the node to fetch a document from.
+    std::string fetchParent(const std::string& announcer) const;
+    asio::awaitable<void> fetch(Address from, DocumentMark, bool isBackends);
     asio::awaitable<std::optional<SourceDocument>> fetchDocument(const Address& from, std::string_view path);
 
     asio::any_io_executor m_executor;
@@ -71,6 +73,8 @@
     SourceDocument m_operators;
     DocumentMark m_backendsMark;
     DocumentMark m_operatorsMark;
+    /// IP addresses of all nodes in the order of their ranks.
+    std::vector<std::string> m_order;
     SteadyTime m_readAt {};
     SteadyTime m_outageAt {};
     bool m_isSourceLost = false;
