Use cold servers near their bound and one entry for each address

Cause: after a loss of power every backend server is cold; choices found no token among three asked nodes and refused 1,595 requests in 4 s, and lapsed entries took places among the asked.

--- a/snipeweir/admission/ServerGate.cpp
+++ b/snipeweir/admission/ServerGate.cpp
@@ -29,10 +29,14 @@
 
 bool ServerGate::isCold() const { return m_clock.now() < m_coldUntil; }
 
+double ServerGate::coldRate() const
+{
+    return m_coldRate > 0 ? m_coldRate * m_settings.coldRateFactor : m_settings.coldRateFallback;
+}
+
 double ServerGate::coldTokens() const
 {
-    const double rate = m_coldRate > 0 ? m_coldRate : m_settings.coldRateFallback;
-    const double earned = std::chrono::duration<double>(m_clock.now() - m_tokensAt).count() * rate;
+    const double earned = std::chrono::duration<double>(m_clock.now() - m_tokensAt).count() * coldRate();
     return std::min(m_settings.coldBurst, m_tokens + earned);
 }
 
@@ -86,10 +90,8 @@
         [&](const Waiting& waiting) { return waiting.ticket.priority > ticket.priority; });
     const double ahead = static_cast<double>(position - m_waiting.begin()) + 1;
     double wait = ahead * m_meanWork * m_slownessPercent / 100 / limit();
-    if (isCold()) {
-        const double rate = m_coldRate > 0 ? m_coldRate : m_settings.coldRateFallback;
-        wait = std::max(wait, ahead / rate * 1e6);
-    }
+    if (isCold())
+        wait = std::max(wait, ahead / coldRate() * 1e6);
     const SteadyTime refuseAt = latestStart(ticket);
     if (now + std::chrono::microseconds(static_cast<int64_t>(wait)) > refuseAt)
         return { ticket.id, Verdict::Refused, isCold() ? Reason::ColdLimit : Reason::QueueFull };
@@ -163,6 +165,7 @@
     load.slownessPercent = m_slownessPercent;
     load.meanRun = std::chrono::microseconds(static_cast<int64_t>(m_meanWork * m_slownessPercent / 100));
     load.failurePercent = static_cast<uint32_t>(std::lround(failureShare() * 100));
+    load.coldInterval = std::chrono::microseconds(static_cast<int64_t>(1e6 / coldRate()));
     load.coldTokens = isCold() ? static_cast<uint32_t>(coldTokens()) : NodeLoad::noColdBound;
     return load;
 }
--- a/snipeweir/admission/ServerGate.h
+++ b/snipeweir/admission/ServerGate.h
@@ -23,8 +23,10 @@
         uint32_t maxWaitPercent = 40;
         /// Longest wait of a request that is late already.
         std::chrono::milliseconds lateWait { 30 };
-        /// Burst of requests that a cold server takes.
-        double coldBurst = 2;
+        /// Burst of requests that a cold server takes, below the extra that operators allow in any one second.
+        double coldBurst = 3;
+        /// Rate at a cold server in multiples of what it bears, below the factor that operators allow.
+        double coldRateFactor = 1.4;
         /// Rate assumed for a cold server of which the operators say nothing, in requests per second.
         double coldRateFallback = 5;
         /// Time in which the memory of failures halves, so that a server that recovered is tried again.
@@ -113,6 +115,8 @@
     };
 
     uint32_t limit() const;
+    /// @return Requests per second that start at a cold server.
+    double coldRate() const;
     bool takeSlot();
     double failureShare() const;
     double coldTokens() const;
--- a/snipeweir/fleet/FleetView.cpp
+++ b/snipeweir/fleet/FleetView.cpp
@@ -36,6 +36,7 @@
 
     const bool isChanged = list.entries != m_backends.entries;
     m_backends = std::move(list);
+    rebuildUsable();
     return isChanged;
 }
 
@@ -46,6 +47,7 @@
     m_operatorRevision = state.revision;
     bool isChanged = m_evacuated != state.evacuated;
     m_evacuated = state.evacuated;
+    rebuildUsable();
     if (state.configuration && (!m_routes || state.configuration->version > m_configurationVersion)) {
         m_configurationVersion = state.configuration->version;
         m_routes = std::make_shared<RouteTable>(state.configuration);
@@ -67,9 +69,33 @@
         missing = m_missingUntil.erase(missing);
         isChanged = true;
     }
+    if (isChanged)
+        rebuildUsable();
     return isChanged;
 }
 
+void FleetView::rebuildUsable()
+{
+    std::map<Address, const BackendEntry*> newest;
+    for (const BackendEntry& entry : m_backends.entries) {
+        const BackendEntry*& known = newest[entry.address];
+        if (!known || entry.startedAtMs >= known->startedAtMs)
+            known = &entry;
+    }
+    m_usable.clear();
+    for (const auto& [address, entry] : newest) {
+        if (!entry->isDraining && !isEvacuated(entry->dataCentre))
+            m_usable[entry->service].push_back(entry);
+    }
+}
+
+const std::vector<const BackendEntry*>& FleetView::usable(const ServiceName& service) const
+{
+    static const std::vector<const BackendEntry*> none;
+    const auto found = m_usable.find(service);
+    return found == m_usable.end() ? none : found->second;
+}
+
 const BackendEntry* FleetView::findByAddress(const Address& address) const
 {
     const BackendEntry* newest = nullptr;
--- a/snipeweir/fleet/FleetView.h
+++ b/snipeweir/fleet/FleetView.h
@@ -72,10 +72,16 @@
     bool isEvacuated(const DataCentreName& dataCentre) const { return m_evacuated.count(dataCentre) != 0; }
     const std::set<DataCentreName>& evacuated() const { return m_evacuated; }
 
+    /// @return The backend servers of a service that may get requests: of each address the newest, neither draining nor
+    /// in a data centre out of service. Valid until the next change of the view.
+    const std::vector<const BackendEntry*>& usable(const ServiceName&) const;
+
     /// @return The newest entry with that address; null if there is none.
     const BackendEntry* findByAddress(const Address&) const;
 
 private:
+    void rebuildUsable();
+
     const Clock& m_clock;
     BackendList m_backends;
     /// Instances that the last list lacked, with the time at which they are dropped.
@@ -84,6 +90,7 @@
     Revision m_configurationVersion;
     std::shared_ptr<const RouteTable> m_routes;
     std::set<DataCentreName> m_evacuated;
+    std::map<ServiceName, std::vector<const BackendEntry*>> m_usable;
 };
 
 }
--- a/snipeweir/placing/NodeLoad.h
+++ b/snipeweir/placing/NodeLoad.h
@@ -26,6 +26,9 @@
     /// Requests that a cold backend server may still take at once; noColdBound when it is warm.
     uint32_t coldTokens = noColdBound;
 
+    /// Time in which a cold backend server may take one more request.
+    std::chrono::microseconds coldInterval { 0 };
+
     static constexpr uint32_t noColdBound = 1000;
 
     bool operator==(const NodeLoad&) const = default;
--- a/snipeweir/placing/Placement.cpp
+++ b/snipeweir/placing/Placement.cpp
@@ -23,6 +23,8 @@
         const double meanRun = std::max(static_cast<double>(load.meanRun.count()), run);
         wait = (load.waiting + 1) * meanRun / limit;
     }
+    if (load.coldTokens == 0)
+        wait = std::max(wait, (load.waiting + 1.0) * static_cast<double>(load.coldInterval.count()));
     // Backend servers slow down as they fill up, so an emptier one is preferred among equals.
     const double share = std::min(1.0, load.running / limit);
     const double crowding = 1 + 0.25 * share * share;
@@ -47,7 +49,7 @@
     double bestCost = 0;
     for (size_t position = 0; position < candidates.size(); ++position) {
         const NodeLoad& load = candidates[position].load;
-        if (!load.isAccepting || load.coldTokens == 0)
+        if (!load.isAccepting)
             continue;
         const double candidateCost = cost(profile, candidates[position]);
         if (!best || candidateCost < bestCost) {
--- a/snipeweir/placing/Placement.h
+++ b/snipeweir/placing/Placement.h
@@ -20,7 +20,6 @@
 
 /// One backend server that may take the request.
 struct PlacementCandidate {
-    size_t index = 0;
     NodeLoad load;
     /// Age of the load.
     std::chrono::microseconds age { 0 };
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -213,16 +213,15 @@
     };
     std::vector<Option> options;
     const SteadyTime now = m_clock.now();
-    for (const BackendEntry& entry : m_view.backends()) {
-        if (entry.service != request.service || entry.isDraining || m_view.isEvacuated(entry.dataCentre))
+    for (const BackendEntry* entry : m_view.usable(request.service)) {
+        const std::string& ip = entry->address.ip;
+        if (std::find(call.tried.begin(), call.tried.end(), ip) != call.tried.end())
             continue;
-        if (std::find(call.tried.begin(), call.tried.end(), entry.address.ip) != call.tried.end())
-            continue;
-        const PeerLoads::Peer& peer = m_peers.peer(entry.address.ip);
+        const PeerLoads::Peer& peer = m_peers.peer(ip);
         const double share = static_cast<double>(peer.load.running + peer.load.waiting) / std::max(1U, peer.load.limit);
-        const double silence = m_peers.isSilent(entry.address.ip) ? 10 : 0;
-        const double distance = entry.dataCentre == m_node.dataCentre ? 0 : 0.3;
-        options.push_back({ &entry, share + silence + distance + m_random.unit() });
+        const double silence = m_peers.isSilent(ip) ? 10 : 0;
+        const double distance = entry->dataCentre == m_node.dataCentre ? 0 : 0.3;
+        options.push_back({ entry, share + silence + distance + m_random.unit() });
     }
     if (options.empty())
         co_return nullptr;
@@ -245,28 +244,27 @@
     std::vector<PlacementCandidate> candidates;
     std::vector<const BackendEntry*> entries;
     const SteadyTime chosenAt = m_clock.now();
-    for (const BackendEntry& entry : m_view.backends()) {
-        if (std::find(instances.begin(), instances.end(), entry.instance) == instances.end() || entry.isDraining
-            || m_view.isEvacuated(entry.dataCentre))
+    for (const BackendEntry* entry : m_view.usable(request.service)) {
+        if (std::find(instances.begin(), instances.end(), entry->instance) == instances.end())
             continue;
+        const std::string& ip = entry->address.ip;
         PlacementCandidate candidate;
-        candidate.index = entries.size();
-        candidate.isSameDataCentre = entry.dataCentre == m_node.dataCentre;
-        if (entry.address.ip == m_node.peers.ip) {
+        candidate.isSameDataCentre = entry->dataCentre == m_node.dataCentre;
+        if (ip == m_node.peers.ip) {
             candidate.load = m_server.load();
         } else {
-            const PeerLoads::Peer& peer = m_peers.peer(entry.address.ip);
+            const PeerLoads::Peer& peer = m_peers.peer(ip);
             const bool hasAnswered = peer.loadAt >= now - std::chrono::milliseconds(20);
-            if (!hasAnswered && (m_peers.isSilent(entry.address.ip) || peer.loadAt == SteadyTime {}))
+            if (!hasAnswered && (m_peers.isSilent(ip) || peer.loadAt == SteadyTime {}))
                 continue;
             candidate.load = peer.load;
             candidate.age = std::chrono::duration_cast<std::chrono::microseconds>(chosenAt - peer.loadAt);
             candidate.roundTrip = peer.roundTrip;
         }
-        if (candidate.load.instance != entry.instance)
+        if (candidate.load.instance != entry->instance)
             continue;
         candidates.push_back(candidate);
-        entries.push_back(&entry);
+        entries.push_back(entry);
     }
     RequestProfile profile;
     const RouteStatistics::Entry& statistics = m_statistics.find(*call.route, request.service);
--- a/snipeweir/relay/PeerMessage.cpp
+++ b/snipeweir/relay/PeerMessage.cpp
@@ -11,7 +11,7 @@
         writer.writeText(load.instance).writeUnsigned(load.isAccepting ? 1 : 0).writeUnsigned(load.running);
         writer.writeUnsigned(load.waiting).writeUnsigned(load.limit).writeUnsigned(load.slownessPercent);
         writer.writeUnsigned(static_cast<uint64_t>(load.meanRun.count())).writeUnsigned(load.failurePercent);
-        writer.writeUnsigned(load.coldTokens);
+        writer.writeUnsigned(load.coldTokens).writeUnsigned(static_cast<uint64_t>(load.coldInterval.count()));
     }
 
     NodeLoad readLoad(CborReader& reader)
@@ -27,6 +27,7 @@
         load.meanRun = std::chrono::microseconds(number());
         load.failurePercent = number();
         load.coldTokens = number();
+        load.coldInterval = std::chrono::microseconds(number());
         return load;
     }
 
