--- a/snipeweir/fleet/FleetSource.h
+++ b/snipeweir/fleet/FleetSource.h
@@ -9,7 +9,8 @@
 
 namespace snipeweir {
 
-/// A document as its source published it. Nodes pass it on to each other as it is, so that one decoder serves both.
+/// A document in the form that the adapter of its source chose. Nodes pass it on to each other in that form, so that
+/// one decoder serves both.
 struct SourceDocument {
     Revision revision;
     std::string text;
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <set>
 #include <xxhash.h>
+#include <zstd.h>
 
 namespace snipeweir {
 
@@ -27,11 +28,34 @@
     /// Nodes that fetch a document from the same node; the others fetch it from them, so that a large document does
     /// not wait for one slow link.
     constexpr size_t fanOut = 8;
-    /// Time for one level of that tree to receive a document.
+    /// Time for one level of that tree to receive a document, and how often a node asks its parent for it.
     constexpr std::chrono::milliseconds levelDelay { 120 };
+    constexpr int parentTries = 3;
+    constexpr int compressionLevel = 3;
+    constexpr uint64_t maxDocumentBytes = 64U << 20U;
 
     uint64_t hashOf(std::string_view text) { return XXH64(text.data(), text.size(), 0); }
 
+    std::string compress(std::string_view text)
+    {
+        std::string packed(ZSTD_compressBound(text.size()), '\0');
+        const size_t size = ZSTD_compress(packed.data(), packed.size(), text.data(), text.size(), compressionLevel);
+        packed.resize(ZSTD_isError(size) ? 0 : size);
+        return packed;
+    }
+
+    std::optional<std::string> decompress(std::string_view packed)
+    {
+        const auto size = ZSTD_getFrameContentSize(packed.data(), packed.size());
+        if (size > maxDocumentBytes)
+            return std::nullopt; // Unknown sizes and errors are above every bound as well.
+        std::string text(size, '\0');
+        const size_t written = ZSTD_decompress(text.data(), text.size(), packed.data(), packed.size());
+        if (ZSTD_isError(written) || written != size)
+            return std::nullopt;
+        return text;
+    }
+
     uint64_t digestOf(const FleetView& view)
     {
         std::string text;
@@ -79,13 +103,18 @@
     m_turn.onFresh(asOf);
 }
 
-const SourceDocument* FleetFollower::document(std::string_view path) const
+std::optional<SourceDocument> FleetFollower::packedDocument(std::string_view path)
 {
-    if (path == backendsPath && m_backends.revision.value > 0)
-        return &m_backends;
-    if (path == operatorsPath && m_operators.revision.value > 0)
-        return &m_operators;
-    return nullptr;
+    const bool isBackends = path == backendsPath;
+    if (!isBackends && path != operatorsPath)
+        return std::nullopt;
+    const SourceDocument& document = isBackends ? m_backends : m_operators;
+    if (document.revision.value == 0)
+        return std::nullopt;
+    std::string& packed = isBackends ? m_packedBackends : m_packedOperators;
+    if (packed.empty())
+        packed = compress(document.text);
+    return SourceDocument { document.revision, packed };
 }
 
 void FleetFollower::takeBackends(SourceDocument document)
@@ -96,6 +125,7 @@
     list.revision = document.revision;
     const bool isChanged = m_view.takeBackends(std::move(list), isAfterOutage());
     m_backends = std::move(document);
+    m_packedBackends.clear();
     m_backendsMark.revision = m_backends.revision.value;
     if (!isChanged)
         return;
@@ -114,6 +144,8 @@
     const bool isSame = digest == m_operatorsMark.digest;
     m_operatorsMark = { document.revision.value, digest };
     m_operators = std::move(document);
+    if (!isSame)
+        m_packedOperators.clear();
     if (isSame)
         return;
     OperatorState state = m_source.decodeOperators(m_operators);
@@ -195,8 +227,9 @@
     const std::string_view path = isBackends ? backendsPath : operatorsPath;
     std::optional<SourceDocument> document;
     const std::string parent = fetchParent(from.ip);
-    if (parent != from.ip) {
-        asio::steady_timer timer(m_executor, levelDelay);
+    asio::steady_timer timer(m_executor);
+    for (int tries = 0; parent != from.ip && !document && tries < parentTries; ++tries) {
+        timer.expires_after(levelDelay);
         co_await timer.async_wait(asTuple);
         const Address parentAddress { parent, from.port };
         document = co_await fetchDocument(parentAddress, path);
@@ -236,11 +269,16 @@
         co_return std::nullopt;
     SourceDocument document;
     document.revision.value = parseUnsigned(exchange.field(revisionField)).value_or(0);
+    std::string packed;
     End end = End::More;
     while (end == End::More)
-        end = co_await exchange.readBody(document.text, deadline);
+        end = co_await exchange.readBody(packed, deadline);
     if (end != End::Complete)
         co_return std::nullopt;
+    auto text = decompress(packed);
+    if (!text)
+        co_return std::nullopt;
+    document.text = std::move(*text);
     co_return document;
 }
 
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -29,8 +29,8 @@
     void onAnnouncement(const std::string& ip, const PeerMessage&);
 
     /// @param path Path of a document, as fetched by other nodes.
-    /// @return The document; null if there is none.
-    const SourceDocument* document(std::string_view path) const;
+    /// @return The document with its text compressed; empty if there is none.
+    std::optional<SourceDocument> packedDocument(std::string_view path);
 
     /// Called after each change of the view.
     std::function<void()> onChanged;
@@ -71,6 +71,9 @@
 
     SourceDocument m_backends;
     SourceDocument m_operators;
+    /// The documents' texts compressed, kept while other nodes fetch them; empty until the first fetch.
+    std::string m_packedBackends;
+    std::string m_packedOperators;
     DocumentMark m_backendsMark;
     DocumentMark m_operatorsMark;
     /// IP addresses of all nodes in the order of their ranks.
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -150,12 +150,11 @@
         if (end != CallerConnection::ReadEnd::Request)
             break;
         const std::string target(connection.request().target());
-        if (const SourceDocument* document = m_follower.document(target)) {
+        if (const auto document = m_follower.packedDocument(target)) {
             std::string head = HopCodec::statusLine(200);
             head.append(FleetFollower::revisionField).append(": ");
             head.append(std::to_string(document->revision.value)).append("\r\n");
-            const std::string text = document->text;
-            co_await connection.writeWhole(std::move(head), text, m_clock.now() + peerWriteTimeout);
+            co_await connection.writeWhole(std::move(head), document->text, m_clock.now() + peerWriteTimeout);
             continue;
         }
         ++m_peerRuns;
