--- a/programs/snipeweir-platform/Main.cpp
+++ b/programs/snipeweir-platform/Main.cpp
@@ -77,7 +77,8 @@
     try {
         const auto arguments = options.parse(argc, argv);
         if (arguments.count("help")) {
-            std::cout << options.help() << "\nExit codes: 0 planned stop, 1 cannot start, 2 faults in settings, 64 usage\n";
+            std::cout << options.help()
+                      << "\nExit codes: 0 planned stop, 1 cannot start, 2 faults in settings, 64 usage\n";
             return 0;
         }
         if (arguments.count("version")) {
--- a/snipeweir/relay/CallerConnection.cpp
+++ b/snipeweir/relay/CallerConnection.cpp
@@ -110,8 +110,7 @@
     head.append("\r\n");
 }
 
-asio::awaitable<bool> CallerConnection::write(
-    const std::string& first, const std::string& second, SteadyTime deadline)
+asio::awaitable<bool> CallerConnection::write(const std::string& first, const std::string& second, SteadyTime deadline)
 {
     m_stream.expires_at(deadline);
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(first), asio::buffer(second) };
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -119,14 +119,16 @@
     const std::string host(message[boost::beast::http::field::host]);
     call->route = call->routes->find(host, target);
     if (!call->route || id.empty()) {
-        co_await writeOwn(connection, call->route ? 400 : 404, id, call->route ? Reason::BadRequest : Reason::UnknownService);
+        co_await writeOwn(
+            connection, call->route ? 400 : 404, id, call->route ? Reason::BadRequest : Reason::UnknownService);
         co_return;
     }
 
     // Work out the times that bind the request.
     const Route& route = *call->route;
     const auto deadline = parseUnsigned(std::string(message[m_names.deadline]));
-    const auto patience = deadline ? std::chrono::milliseconds(std::min<uint64_t>(*deadline, 3'600'000)) : defaultDeadline;
+    const auto patience
+        = deadline ? std::chrono::milliseconds(std::min<uint64_t>(*deadline, 3'600'000)) : defaultDeadline;
     RelayRequest& request = call->request;
     request.deadline = call->startedAt + patience;
     if (route.timeout.count() > 0)
@@ -157,15 +159,18 @@
     const bool isWritten = !call->hasLeft && co_await writeAnswer(connection, *call);
     const Answer& answer = *call->answer;
     const bool isOrdinary = answer.kind == Answer::Kind::Served && answer.status < 500 && isWritten;
-    const auto weight = isOrdinary ? JsonLog::Weight::Ordinary
-                                   : (answer.kind == Answer::Kind::NotRun ? JsonLog::Weight::Refusal : JsonLog::Weight::Odd);
+    const auto weight = isOrdinary
+        ? JsonLog::Weight::Ordinary
+        : (answer.kind == Answer::Kind::NotRun ? JsonLog::Weight::Refusal : JsonLog::Weight::Odd);
     std::string nodes;
     for (const std::string& ip : call->tried)
         nodes.append(nodes.empty() ? "" : ",").append(ip);
     m_log.request(weight, "answered", request.id,
-        { { "route", route.name }, { "service", request.service.text() }, { "outcome", std::string(outcomeName(
-              answer.kind == Answer::Kind::Served ? Outcome::Done
-                                                  : (answer.kind == Answer::Kind::NotRun ? Outcome::NotRun : Outcome::Unknown))) },
+        { { "route", route.name }, { "service", request.service.text() },
+            { "outcome",
+                std::string(outcomeName(answer.kind == Answer::Kind::Served
+                        ? Outcome::Done
+                        : (answer.kind == Answer::Kind::NotRun ? Outcome::NotRun : Outcome::Unknown))) },
             { "status", std::to_string(answer.status) }, { "reason", std::string(reasonName(answer.reason)) },
             { "left", call->hasLeft ? "true" : "false" }, { "written", isWritten ? "true" : "false" },
             { "nodes", nodes }, { "sends", std::to_string(call->sends) },
@@ -184,11 +189,10 @@
     // All nodes share one budget without asking each other: each uses at most its even share.
     const size_t nodes = std::max<size_t>(1, m_view.backends().size());
     RetryBudget::Limits limits;
-    limits.maxBalance = static_cast<uint32_t>(
-        std::max<size_t>(1, m_node.repeatExtra * m_settings.budgetSharePercent / 100 / nodes));
+    limits.maxBalance
+        = static_cast<uint32_t>(std::max<size_t>(1, m_node.repeatExtra * m_settings.budgetSharePercent / 100 / nodes));
     limits.advance = limits.maxBalance;
-    return m_budgets
-        .emplace(service, RetryBudget(m_node.repeatPercent * m_settings.budgetSharePercent / 100, limits))
+    return m_budgets.emplace(service, RetryBudget(m_node.repeatPercent * m_settings.budgetSharePercent / 100, limits))
         .first->second;
 }
 
--- a/snipeweir/relay/Connection.cpp
+++ b/snipeweir/relay/Connection.cpp
@@ -82,8 +82,9 @@
 {
     const SteadyTime now = m_clock.now();
     for (auto entry = m_idle.begin(); entry != m_idle.end();) {
-        std::erase_if(entry->second,
-            [&](const std::unique_ptr<Connection>& connection) { return now - connection->usedAt > m_settings.maxIdle; });
+        std::erase_if(entry->second, [&](const std::unique_ptr<Connection>& connection) {
+            return now - connection->usedAt > m_settings.maxIdle;
+        });
         entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
     }
 }
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -130,8 +130,9 @@
     if (!isChanged)
         return;
     m_backendsMark.digest = digestOf(m_view);
-    m_log.belief("backends_changed", { { "revision", std::to_string(m_backends.revision.value) },
-                                         { "entries", std::to_string(m_view.backends().size()) } });
+    m_log.belief("backends_changed",
+        { { "revision", std::to_string(m_backends.revision.value) },
+            { "entries", std::to_string(m_view.backends().size()) } });
     updateRank();
     onChanged();
 }
@@ -156,8 +157,7 @@
     for (const DataCentreName& dataCentre : m_view.evacuated())
         evacuated.append(evacuated.empty() ? "" : ",").append(dataCentre.text());
     m_log.belief("configuration_taken",
-        { { "version",
-              std::to_string(m_view.routes() ? m_view.routes()->configuration().version.value : 0) },
+        { { "version", std::to_string(m_view.routes() ? m_view.routes()->configuration().version.value : 0) },
             { "revision", std::to_string(m_operators.revision.value) }, { "evacuated", evacuated } });
     onChanged();
 }
@@ -174,8 +174,7 @@
     m_order.clear();
     for (const auto& [hash, ip] : order)
         m_order.push_back(ip);
-    m_turn.setRank(static_cast<uint32_t>(
-        std::find(m_order.begin(), m_order.end(), m_node.peers.ip) - m_order.begin()));
+    m_turn.setRank(static_cast<uint32_t>(std::find(m_order.begin(), m_order.end(), m_node.peers.ip) - m_order.begin()));
     m_peers.keepOnly(ips);
 }
 
@@ -243,7 +242,8 @@
     else
         m_isFetchingOperators = false;
     if (!document) {
-        m_log.belief("fetch_failed", { { "from", from.text() }, { "document", isBackends ? "backends" : "operators" } });
+        m_log.belief(
+            "fetch_failed", { { "from", from.text() }, { "document", isBackends ? "backends" : "operators" } });
         co_return;
     }
     if (isBackends) {
@@ -254,8 +254,7 @@
     }
 }
 
-asio::awaitable<std::optional<SourceDocument>> FleetFollower::fetchDocument(
-    const Address& from, std::string_view path)
+asio::awaitable<std::optional<SourceDocument>> FleetFollower::fetchDocument(const Address& from, std::string_view path)
 {
     const SteadyTime deadline = m_clock.now() + fetchTimeout;
     auto connection = co_await m_pool.acquire(from, m_pool.settings().maxIdle, deadline);
--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -172,10 +172,7 @@
     return { value.data(), value.size() };
 }
 
-bool HttpExchange::hasField(std::string_view name) const
-{
-    return m_parser->get().find(name) != m_parser->get().end();
-}
+bool HttpExchange::hasField(std::string_view name) const { return m_parser->get().find(name) != m_parser->get().end(); }
 
 std::vector<HeaderField> HttpExchange::endToEndFields() const
 {
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -61,8 +61,7 @@
 Result<std::unique_ptr<Relay>> Relay::create(RelaySettings settings, WireNames names, const Clock& clock, JsonLog& log,
     const std::function<FleetSource(asio::any_io_executor)>& makeSource)
 {
-    std::unique_ptr<Relay> relay(
-        new Relay(std::move(settings), std::move(names), clock, log, makeSource));
+    std::unique_ptr<Relay> relay(new Relay(std::move(settings), std::move(names), clock, log, makeSource));
     error_code error;
     const asio::ip::udp::endpoint queryEndpoint(
         asio::ip::make_address(relay->m_settings.peers.ip, error), relay->m_settings.queryPort);
@@ -87,16 +86,16 @@
     , m_log(log)
     , m_view(clock)
     , m_peers(m_context.get_executor(), clock, PeerLoads::Settings())
-    , m_follower(m_context.get_executor(), clock, m_settings, makeSource(m_context.get_executor()), m_view, m_peers, log)
+    , m_follower(
+          m_context.get_executor(), clock, m_settings, makeSource(m_context.get_executor()), m_view, m_peers, log)
     , m_server(m_context.get_executor(), clock, ServerPath::Settings(), m_settings, m_names, m_view, log)
     , m_callers(m_context.get_executor(), clock, CallerPath::Settings(), m_settings, m_names, m_view, m_peers, m_server,
           log, randomSeed())
     , m_signals(m_context, SIGTERM, SIGHUP)
 {
     m_peers.ownLoad = [this] { return m_server.load(); };
-    m_peers.onAnnouncement = [this](const std::string& ip, const PeerMessage& message) {
-        m_follower.onAnnouncement(ip, message);
-    };
+    m_peers.onAnnouncement
+        = [this](const std::string& ip, const PeerMessage& message) { m_follower.onAnnouncement(ip, message); };
     m_follower.onChanged = [this] { m_server.onViewChanged(); };
 }
 
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -62,9 +62,9 @@
             m_gate.setColdRate(policy->second.coldRequestsPerSecond);
     }
     if (reason != m_gate.closedReason())
-        m_log.belief("server_gate", { { "reason", std::string(reasonName(reason)) },
-                                        { "instance", entry ? entry->instance : std::string() },
-                                        { "revision", std::to_string(m_view.backendRevision().value) } });
+        m_log.belief("server_gate",
+            { { "reason", std::string(reasonName(reason)) }, { "instance", entry ? entry->instance : std::string() },
+                { "revision", std::to_string(m_view.backendRevision().value) } });
     m_gate.setClosed(reason);
     advanceGate();
 }
@@ -158,8 +158,7 @@
     if (cancellation.isCancelled() || request.deadline <= run->startedAt) {
         m_gate.onFinished(ticket.id, ServerGate::RunResult::Cancelled, {});
         advanceGate();
-        co_return Answer::notRun(
-            cancellation.isCancelled() ? Reason::CancelledBeforeStart : Reason::DeadlinePassed);
+        co_return Answer::notRun(cancellation.isCancelled() ? Reason::CancelledBeforeStart : Reason::DeadlinePassed);
     }
 
     const uint32_t slowness = m_gate.load().slownessPercent;
@@ -220,8 +219,8 @@
             result = ServerGate::RunResult::NotRun;
         else if (run->hasFailed || end != End::Complete)
             result = ServerGate::RunResult::Failed;
-        m_gate.onFinished(run->ticket, result,
-            std::chrono::duration_cast<std::chrono::microseconds>(m_clock.now() - run->startedAt));
+        m_gate.onFinished(
+            run->ticket, result, std::chrono::duration_cast<std::chrono::microseconds>(m_clock.now() - run->startedAt));
         asio::post(m_executor, [this] { advanceGate(); });
     };
 
@@ -285,7 +284,8 @@
     }
 }
 
-asio::awaitable<Answer> ServerPath::readAnswer(const RelayRequest& request, const std::shared_ptr<HttpExchange>& exchange, Run& run)
+asio::awaitable<Answer> ServerPath::readAnswer(
+    const RelayRequest& request, const std::shared_ptr<HttpExchange>& exchange, Run& run)
 {
     // An answer that names another request belongs to an earlier one; the own answer follows it.
     for (int foreign = 0;; ++foreign) {
@@ -355,8 +355,9 @@
     bool wasHealthy = true;
     for (;;) {
         // Answers to requests bring the load as well, but only a health answer says that the server turned cold.
-        const auto interval = m_clock.now() - m_loadAt < m_settings.healthInterval / 2 ? m_settings.healthInterval * 3 / 2
-                                                                                       : m_settings.healthInterval;
+        const auto interval = m_clock.now() - m_loadAt < m_settings.healthInterval / 2
+            ? m_settings.healthInterval * 3 / 2
+            : m_settings.healthInterval;
         timer.expires_after(interval);
         co_await timer.async_wait(asTuple);
         if (!m_view.routes() || m_isStopping)
@@ -402,8 +403,9 @@
         body.clear();
     if (!instance.empty()) {
         if (instance != m_instance)
-            m_log.belief("server_instance", { { "instance", instance }, { "before", m_instance },
-                                                { "cold_ms", std::to_string(cold.value_or(0)) } });
+            m_log.belief("server_instance",
+                { { "instance", instance }, { "before", m_instance },
+                    { "cold_ms", std::to_string(cold.value_or(0)) } });
         m_instance = instance;
         m_gate.setCold(std::chrono::milliseconds(std::min<uint64_t>(cold.value_or(0), 60'000)));
         advanceGate();
--- a/snipeweir/telemetry/JsonLog.cpp
+++ b/snipeweir/telemetry/JsonLog.cpp
@@ -16,8 +16,9 @@
 
     bool needsEscaping(std::string_view text)
     {
-        return std::any_of(text.begin(), text.end(),
-            [](unsigned char character) { return character < 0x20 || character >= 0x7F || character == '"' || character == '\\'; });
+        return std::any_of(text.begin(), text.end(), [](unsigned char character) {
+            return character < 0x20 || character >= 0x7F || character == '"' || character == '\\';
+        });
     }
 
     void appendString(std::string& line, std::string_view text)
@@ -125,8 +126,8 @@
         m_wake.wait_for(lock, m_settings.writeInterval, [this] { return m_isStopping; });
         const bool isLast = m_isStopping;
         if (m_dropped > m_droppedReported) {
-            m_buffer.append("{\"node\":\"" + m_node + "\",\"event\":\"lines_dropped\",\"count\":"
-                + std::to_string(m_dropped - m_droppedReported) + "}\n");
+            m_buffer.append("{\"node\":\"" + m_node
+                + "\",\"event\":\"lines_dropped\",\"count\":" + std::to_string(m_dropped - m_droppedReported) + "}\n");
             m_droppedReported = m_dropped;
         }
         std::string lines;
--- /dev/null
+++ b/tests/admission/ServerGateTests.cpp
@@ -0,0 +1,186 @@
+#include "snipeweir/admission/ServerGate.h"
+#include "snipeweir/core/Random.h"
+
+#include <algorithm>
+#include <deque>
+#include <doctest/doctest.h>
+#include <map>
+#include <vector>
+
+using namespace snipeweir;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Verdict = ServerGate::Verdict;
+
+/// A gate with slots slots that takes requests and a server that is warm.
+ServerGate openGate(const Clock& clock, uint32_t slots)
+{
+    ServerGate gate(ServerGate::Settings(), clock);
+    gate.setClosed(Reason::None);
+    gate.setSlots(slots);
+    gate.setCold(0ms);
+    return gate;
+}
+
+ServerGate::Ticket ticketAt(const Clock& clock, uint64_t id, uint32_t priority = 0)
+{
+    return { id, priority, clock.now() + 500ms, clock.now() + 3000ms, 100ms };
+}
+
+/// Plays requests at a server whose runs take a fixed time, and counts by priority what callers get.
+struct LoadPlay {
+    struct Outcome {
+        int offered = 0;
+        int onTime = 0;
+        int late = 0;
+        int refused = 0;
+        std::chrono::nanoseconds longestRefusal { 0 };
+    };
+
+    explicit LoadPlay(ServerGate& playedGate, ManualClock& playedClock, std::chrono::milliseconds runTime)
+        : gate(playedGate)
+        , clock(playedClock)
+        , run(runTime)
+    {
+    }
+
+    void offer(uint32_t priority)
+    {
+        const uint64_t id = next++;
+        requests[id] = { priority, clock.now() };
+        ++outcomes[priority].offered;
+        settle(gate.offer({ id, priority, clock.now() + 500ms, clock.now() + 3000ms, run }));
+    }
+
+    void step(std::chrono::milliseconds time)
+    {
+        clock.advance(time);
+        while (!running.empty() && running.front().second <= clock.now()) {
+            const uint64_t id = running.front().first;
+            running.pop_front();
+            gate.onFinished(id, ServerGate::RunResult::Succeeded, run);
+            Outcome& outcome = outcomes[requests[id].first];
+            ++(clock.now() - requests[id].second <= 500ms ? outcome.onTime : outcome.late);
+        }
+        for (const auto& decision : gate.advance())
+            settle(decision);
+    }
+
+    void settle(const ServerGate::Decision& decision)
+    {
+        const auto& [priority, offeredAt] = requests[decision.id];
+        if (decision.verdict == Verdict::Admitted) {
+            running.emplace_back(decision.id, clock.now() + run);
+        } else if (decision.verdict == Verdict::Refused) {
+            Outcome& outcome = outcomes[priority];
+            ++outcome.refused;
+            outcome.longestRefusal
+                = std::max<std::chrono::nanoseconds>(outcome.longestRefusal, clock.now() - offeredAt);
+        }
+    }
+
+    ServerGate& gate;
+    ManualClock& clock;
+    std::chrono::milliseconds run;
+    uint64_t next = 1;
+    std::deque<std::pair<uint64_t, SteadyTime>> running;
+    std::map<uint64_t, std::pair<uint32_t, SteadyTime>> requests;
+    std::map<uint32_t, Outcome> outcomes;
+};
+
+}
+
+TEST_CASE(
+    "At twice the capacity the server stays busy, admitted requests are on time and the urgent ones are all served")
+{
+    ManualClock clock;
+    ServerGate gate = openGate(clock, 10);
+    LoadPlay play(gate, clock, 100ms);
+    Random random(11);
+    // Eight usable slots of 100 ms run 80 requests a second; 160 are offered, a quarter of them urgent.
+    for (int step = 0; step < 20'000; ++step) {
+        if (random.below(1000) < 160)
+            play.offer(random.below(4) == 0 ? 0 : 2);
+        play.step(1ms);
+    }
+    const auto& urgent = play.outcomes[0];
+    const auto& usual = play.outcomes[2];
+    CHECK(urgent.refused * 100 <= urgent.offered);
+    CHECK(usual.late + urgent.late == 0);
+    CHECK(urgent.onTime + usual.onTime >= 80 * 20 * 95 / 100);
+    // A refusal that comes late helps nobody: the bound is the longest wait of the settings.
+    CHECK(usual.longestRefusal <= 500ms * 40 / 100 + 1ms);
+}
+
+TEST_CASE("A request that cannot be on time is refused at once while no slot is free")
+{
+    ManualClock clock;
+    ServerGate gate = openGate(clock, 1);
+    CHECK(gate.offer(ticketAt(clock, 1)).verdict == Verdict::Admitted);
+    ServerGate::Ticket tight { 2, 0, clock.now() + 60ms, clock.now() + 1000ms, 100ms };
+    const auto decision = gate.offer(tight);
+    CHECK(decision.verdict == Verdict::Refused);
+    CHECK(decision.reason == Reason::QueueFull);
+}
+
+TEST_CASE("A cold server gets no more requests in any second than operators allow, whatever is offered")
+{
+    // Bears 11 a second; allowed are 1.5 times that and 5 more in any one second.
+    ManualClock clock;
+    ServerGate gate = openGate(clock, 50);
+    gate.setColdRate(11);
+    std::vector<SteadyTime> starts;
+    uint64_t id = 1;
+    for (int step = 0; step < 10'000; ++step) {
+        if (step % 100 == 0)
+            gate.setCold(5000ms); // Health answers repeat that the server is cold.
+        clock.advance(1ms);
+        for (int copy = 0; copy < 3; ++copy, ++id) {
+            if (gate.offer(ticketAt(clock, id)).verdict == Verdict::Admitted) {
+                starts.push_back(clock.now());
+                gate.onFinished(id, ServerGate::RunResult::Succeeded, 1ms);
+            }
+        }
+        for (const auto& decision : gate.advance()) {
+            if (decision.verdict == Verdict::Admitted) {
+                starts.push_back(clock.now());
+                gate.onFinished(decision.id, ServerGate::RunResult::Succeeded, 1ms);
+            }
+        }
+    }
+    for (size_t first = 0; first < starts.size(); ++first) {
+        const auto end = std::upper_bound(starts.begin(), starts.end(), starts[first] + 1s);
+        CHECK(end - (starts.begin() + static_cast<std::ptrdiff_t>(first)) <= 21);
+    }
+    CHECK(starts.size() >= 11 * 10);
+}
+
+TEST_CASE("A closed gate refuses at once and lets nothing wait")
+{
+    ManualClock clock;
+    ServerGate gate = openGate(clock, 1);
+    CHECK(gate.offer(ticketAt(clock, 1)).verdict == Verdict::Admitted);
+    CHECK(gate.offer(ticketAt(clock, 2)).verdict == Verdict::Waiting);
+    gate.setClosed(Reason::Draining);
+    const auto decisions = gate.advance();
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].verdict == Verdict::Refused);
+    CHECK(decisions[0].reason == Reason::Draining);
+    CHECK(gate.offer(ticketAt(clock, 3)).reason == Reason::Draining);
+    CHECK_FALSE(gate.nextDecision());
+}
+
+TEST_CASE("Failures are remembered for a while and then forgotten, so that a server that recovered is tried again")
+{
+    ManualClock clock;
+    ServerGate gate = openGate(clock, 10);
+    for (uint64_t id = 1; id <= 30; ++id) {
+        CHECK(gate.offer(ticketAt(clock, id)).verdict == Verdict::Admitted);
+        gate.onFinished(id, ServerGate::RunResult::Failed, 1ms);
+    }
+    CHECK(gate.load().failurePercent >= 90);
+    clock.advance(10s);
+    CHECK(gate.load().failurePercent <= 1);
+}
--- /dev/null
+++ b/tests/fleet/FleetViewTests.cpp
@@ -0,0 +1,100 @@
+#include "snipeweir/fleet/FleetView.h"
+
+#include <doctest/doctest.h>
+
+using namespace snipeweir;
+using namespace std::chrono_literals;
+
+namespace {
+
+BackendEntry entry(const std::string& instance, const std::string& ip, uint64_t startedAtMs = 1)
+{
+    BackendEntry result;
+    result.instance = instance;
+    result.service = ServiceName("scans");
+    result.address = { ip, 80 };
+    result.dataCentre = DataCentreName("a");
+    result.slots = 4;
+    result.startedAtMs = startedAtMs;
+    return result;
+}
+
+OperatorState state(uint64_t revision, uint64_t version, std::set<DataCentreName> evacuated = {})
+{
+    auto configuration = std::make_shared<RouteConfiguration>();
+    configuration->version.value = version;
+    return { Revision { revision }, configuration, std::move(evacuated) };
+}
+
+}
+
+TEST_CASE("A list of an earlier revision never replaces a later one")
+{
+    ManualClock clock;
+    FleetView view(clock);
+    CHECK(view.takeBackends({ Revision { 5 }, { entry("x", "10.0.0.1") } }, false));
+    CHECK_FALSE(view.takeBackends({ Revision { 4 }, {} }, false));
+    CHECK(view.backends().size() == 1);
+}
+
+TEST_CASE("A configuration of an earlier version is never in force again, also under a later revision")
+{
+    ManualClock clock;
+    FleetView view(clock);
+    CHECK(view.takeOperatorState(state(10, 7)));
+    CHECK_FALSE(view.takeOperatorState(state(11, 6)));
+    CHECK(view.routes()->configuration().version.value == 7);
+}
+
+TEST_CASE("An entry that is gone in calm times is dropped at once, so that a leaving server gets no more requests")
+{
+    ManualClock clock;
+    FleetView view(clock);
+    view.takeBackends({ Revision { 1 }, { entry("x", "10.0.0.1"), entry("y", "10.0.0.2") } }, false);
+    view.takeBackends({ Revision { 2 }, { entry("y", "10.0.0.2") } }, false);
+    CHECK(view.usable(ServiceName("scans")).size() == 1);
+}
+
+TEST_CASE("Entries that lapsed in an outage are kept for the grace and dropped after it")
+{
+    ManualClock clock;
+    FleetView view(clock);
+    view.takeBackends({ Revision { 1 }, { entry("x", "10.0.0.1") } }, false);
+    view.takeBackends({ Revision { 2 }, {} }, true);
+    CHECK(view.usable(ServiceName("scans")).size() == 1);
+    // Later lists in calm times don't prolong the grace.
+    clock.advance(FleetView::missingEntryGrace - 10ms);
+    view.takeBackends({ Revision { 3 }, {} }, false);
+    CHECK(view.usable(ServiceName("scans")).size() == 1);
+    clock.advance(20ms);
+    CHECK(view.expireMissing());
+    CHECK(view.usable(ServiceName("scans")).empty());
+}
+
+TEST_CASE("Of several entries with one address only the newest start counts")
+{
+    ManualClock clock;
+    FleetView view(clock);
+    BackendEntry reused = entry("new", "10.0.0.1", 9);
+    reused.service = ServiceName("records");
+    view.takeBackends({ Revision { 1 }, { entry("old", "10.0.0.1", 3), reused } }, false);
+    CHECK(view.usable(ServiceName("scans")).empty());
+    REQUIRE(view.usable(ServiceName("records")).size() == 1);
+    CHECK(view.findByAddress({ "10.0.0.1", 80 })->instance == "new");
+}
+
+TEST_CASE("Draining servers and those of a data centre out of service are not usable")
+{
+    ManualClock clock;
+    FleetView view(clock);
+    BackendEntry draining = entry("x", "10.0.0.1");
+    draining.isDraining = true;
+    BackendEntry other = entry("z", "10.0.0.3");
+    other.dataCentre = DataCentreName("b");
+    view.takeBackends({ Revision { 1 }, { draining, entry("y", "10.0.0.2"), other } }, false);
+    view.takeOperatorState(state(1, 1, { DataCentreName("b") }));
+    REQUIRE(view.usable(ServiceName("scans")).size() == 1);
+    CHECK(view.usable(ServiceName("scans"))[0]->instance == "y");
+    view.takeOperatorState(state(2, 1));
+    CHECK(view.usable(ServiceName("scans")).size() == 2);
+}
--- /dev/null
+++ b/tests/telemetry/JsonLogTests.cpp
@@ -0,0 +1,74 @@
+#include "snipeweir/telemetry/JsonLog.h"
+
+#include <array>
+#include <boost/json/parse.hpp>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <sstream>
+#include <unistd.h>
+
+using namespace snipeweir;
+using namespace std::chrono_literals;
+
+TEST_CASE("Each line is one JSON object, whatever bytes the values hold")
+{
+    ManualClock clock;
+    JsonLog log(clock, JsonLog::Settings(), "n", -1);
+    log.request(JsonLog::Weight::Odd, "answered", CallId("a\"b\\c\n\xff"), { { "reason", std::string(1000, 'x') } });
+    log.belief("start", {});
+    std::istringstream lines(log.pending());
+    std::string line;
+    int count = 0;
+    while (std::getline(lines, line)) {
+        boost::system::error_code error;
+        CHECK(boost::json::parse(line, error).is_object());
+        CHECK_FALSE(error);
+        ++count;
+    }
+    CHECK(count == 2);
+}
+
+TEST_CASE("In a flood ordinary lines are dropped first, odd ends and beliefs are kept, and drops are counted")
+{
+    ManualClock clock;
+    JsonLog::Settings settings;
+    settings.bytesPerSecond = 20'000;
+    JsonLog log(clock, settings, "n", -1);
+    for (int request = 0; request < 10'000; ++request)
+        log.request(JsonLog::Weight::Ordinary, "answered", CallId("id"), {});
+    CHECK(log.pending().size() <= 10'000);
+    CHECK(log.dropped() > 9000);
+    log.request(JsonLog::Weight::Odd, "odd_end", CallId("id"), {});
+    log.belief("belief_changed", {});
+    CHECK(log.pending().find("odd_end") != std::string::npos);
+    CHECK(log.pending().find("belief_changed") != std::string::npos);
+    // The rate is a matter of one second.
+    clock.advance(1s);
+    const uint64_t before = log.dropped();
+    log.request(JsonLog::Weight::Ordinary, "answered", CallId("id"), {});
+    CHECK(log.dropped() == before);
+}
+
+TEST_CASE("An output that nobody reads neither blocks the caller nor grows the buffer")
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::array<int, 2> pipe {};
+    REQUIRE(::pipe(pipe.data()) == 0);
+    const SystemClock clock;
+    JsonLog::Settings settings;
+    settings.writeInterval = 1ms;
+    settings.bufferBytes = 50'000;
+    settings.bytesPerSecond = 1U << 30U;
+    {
+        JsonLog log(clock, settings, "n", pipe[1]);
+        const auto start = clock.now();
+        for (int line = 0; line < 100'000; ++line)
+            log.belief("line", { { "text", std::string(100, 'x') } });
+        CHECK(clock.now() - start < 5s);
+        CHECK(log.pending().size() <= 50'000);
+        CHECK(log.dropped() > 0);
+        ::close(pipe[0]); // Lets the writer end.
+    }
+    ::close(pipe[1]);
+}
