Test each promise of the relay with real nodes and stand-ins

26 cases over loopback: lost and foreign answers, killed and suspended nodes, silent connections, a silent store, drain, evacuation, configuration, cold servers, budgets, planned stops.

--- /dev/null
+++ b/tests/relay/fleet.py
@@ -0,0 +1,362 @@
+"""A small fleet of real relay nodes on loopback addresses, with stand-ins for the platform's store and the backend
+servers, a fault proxy between each node and what it talks to, and a client. Used by the rule tests and by the soak."""
+
+import asyncio
+import base64
+import json
+import os
+import signal
+import time
+
+PORTS = {"callers": 7304, "peers": 7300, "ready": 7302, "backend": 7301, "query": 7620, "metrics": 7702}
+STORE_IP = "127.77.9.9"
+BOUNDS = ["retryBudgetRatio=0.2", "retryBudgetExtra=64", "budgetWindow=10s", "grace=6s"]
+
+
+class Proxy:
+    """Forwards TCP connections and can misbehave. Modes: pass, delay (200 ms more each way), silent (connections stay
+    open, nothing passes), lose_answers (bytes pass to the server only), reset (connections are reset)."""
+
+    def __init__(self, listen, target):
+        self.listen, self.target = listen, target
+        self.mode = "pass"
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, *self.listen, backlog=512)
+
+    async def stop(self):
+        self.server.close()
+        self.reset_all()
+
+    def set_mode(self, mode):
+        self.mode = mode
+        if mode == "reset":
+            self.reset_all()
+
+    def reset_all(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        try:
+            up_reader, up_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, up_writer}
+        # A connection that went silent stays so, as when something between the ends has lost track of it.
+        state = {"silent": False}
+        await asyncio.gather(self.pump(reader, up_writer, False, state), self.pump(up_reader, writer, True, state))
+        self.writers -= {writer, up_writer}
+
+    async def pump(self, reader, writer, is_answer, state):
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "delay":
+                    await asyncio.sleep(0.2)
+                state["silent"] |= self.mode == "silent" or (self.mode == "lose_answers" and is_answer)
+                if state["silent"]:
+                    continue
+                writer.write(data)
+                await writer.drain()
+            if not state["silent"]:
+                writer.close()
+        except (OSError, asyncio.CancelledError):
+            writer.transport.abort()
+
+
+async def read_head(reader):
+    """Returns the start line and the fields with lower-case names, or None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, OSError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            fields[name.strip().lower()] = value.strip()
+    return lines[0], fields
+
+
+class Store:
+    """The platform's store: items with revisions, range reads by page and watches."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 1
+        self.changes = []
+        self.mode = "ok"
+        self.calls = 0
+
+    async def start(self, port):
+        self.server = await asyncio.start_server(self.serve, STORE_IP, port, backlog=512)
+
+    def put(self, key, value):
+        self.revision += 1
+        self.items[key] = (value, self.revision)
+        self.changes.append((key, self.revision))
+
+    def remove(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self.changes.append((key, self.revision))
+
+    async def serve(self, reader, writer):
+        try:
+            while head := await read_head(reader):
+                self.calls += 1
+                path, _, query = head[0].split(" ")[1].partition("?")
+                arguments = dict(part.split("=", 1) for part in query.split("&"))
+                while self.mode == "silent":
+                    await asyncio.sleep(0.05)
+                status, body = (503, {}) if self.mode == "refuse" else await self.answer(path, arguments)
+                text = json.dumps(body).encode()
+                writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
+                await writer.drain()
+        except (OSError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, path, arguments):
+        prefix = arguments["prefix"]
+        if path == "/v1/kv-range":
+            keys = sorted(k for k in self.items if k.startswith(prefix) and k > arguments.get("after", ""))
+            items = [{"key": k, "value": base64.b64encode(self.items[k][0]).decode(), "revision": self.items[k][1]}
+                     for k in keys[:5]]
+            return 200, {"items": items, "hasMore": len(keys) > 5, "atRev": self.revision}
+        end = time.monotonic() + int(arguments["waitMs"]) / 1000
+        while time.monotonic() < end:
+            events = [{"key": k, "revision": r} for k, r in self.changes
+                      if r > int(arguments["after"]) and k.startswith(prefix)]
+            if events:
+                return 200, {"events": events, "atRev": self.revision}
+            await asyncio.sleep(0.02)
+        return 200, {"events": [], "atRev": self.revision}
+
+
+class Backend:
+    """A backend server. Modes: ok, error, hang, reset_after_run, extra, cut, no_seal, encoded, shed."""
+
+    def __init__(self, instance, service, work=0.05):
+        self.instance, self.service, self.work = instance, service, work
+        self.mode = "ok"
+        self.cold_until = 0.0
+        self.arrivals = []  # (time, id, path, fields)
+        self.started = []  # ids of runs
+        self.dropped = []  # (time, id) of runs whose connection closed
+        self.health_checks = 0
+        self.body = b"x" * 300
+
+    async def start(self, ip, port):
+        self.server = await asyncio.start_server(self.serve, ip, port, backlog=512)
+
+    async def stop(self):
+        self.server.close()
+
+    def entry(self, ip, zone, state="ready"):
+        return json.dumps({"service": self.service, "address": f"{ip}:{PORTS['backend']}", "zone": zone,
+                           "version": "v1", "slots": 10, "state": state, "coldRemaining": "0ms", "seq": 1,
+                           "born": 1700000000000}).encode()
+
+    async def serve(self, reader, writer):
+        try:
+            while head := await read_head(reader):
+                line, fields = head
+                body = await reader.readexactly(int(fields.get("content-length", 0)))
+                if line.split(" ")[1] == "/health":
+                    self.health_checks += 1
+                    cold = max(0, int((self.cold_until - time.monotonic()) * 1000))
+                    extra = f"Cold-Ms: {cold}\r\n" if cold else ""
+                    writer.write(f"HTTP/1.1 200 OK\r\nInstance-Id: {self.instance}\r\nServer-Load: 0,0,10,100\r\n"
+                                 f"{extra}Content-Length: 0\r\n\r\n".encode())
+                    await writer.drain()
+                    continue
+                await self.run(reader, writer, line, fields, body)
+        except (OSError, ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def run(self, reader, writer, line, fields, body):
+        request_id = fields.get("request-id", "")
+        if fields.get("expected-instance", self.instance) != self.instance:
+            writer.write(f"HTTP/1.1 421 X\r\nInstance-Id: {self.instance}\r\nRequest-Id: {request_id}\r\n"
+                         "Content-Length: 0\r\n\r\n".encode())
+            return
+        self.arrivals.append((time.monotonic(), request_id, line, fields))
+        if self.mode == "shed":
+            writer.write(f"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: {request_id}\r\n"
+                         "Content-Length: 0\r\n\r\n".encode())
+            return
+        self.started.append(request_id)
+        mode = self.mode
+        closed = asyncio.ensure_future(reader.read(1))
+        work = 30 if mode == "hang" else self.work
+        done, _ = await asyncio.wait({closed}, timeout=work)
+        if done and not closed.result():
+            self.dropped.append((time.monotonic(), request_id))
+            raise ConnectionError
+        closed.cancel()
+        await asyncio.sleep(0)
+        if mode == "reset_after_run":
+            writer.transport.abort()
+            raise ConnectionError
+        status = 500 if mode == "error" else 200
+        seal = "" if mode == "no_seal" else f"Server-Seal: seal-{self.instance}\r\n"
+        encoded = "Content-Encoding: gzip\r\n" if mode == "encoded" else ""
+        answer = (f"HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\n{seal}{encoded}Server-Load: 1,0,10,100\r\n"
+                  f"Content-Length: {len(self.body)}\r\n\r\n").encode() + self.body
+        if mode == "cut":
+            writer.write(answer[:-20])
+            raise ConnectionError
+        writer.write(answer)
+        if mode == "extra":
+            writer.write(answer.replace(b"x", b"y"))
+        await writer.drain()
+
+
+class Reply:
+    def __init__(self, status, fields, body, is_whole):
+        self.status, self.fields, self.body, self.is_whole = status, fields, body, is_whole
+
+
+class Node:
+    def __init__(self, fleet, index, service, zone):
+        self.fleet, self.index, self.service, self.zone = fleet, index, service, zone
+        self.ip = f"127.77.0.{index + 1}"
+        self.backend = Backend(f"i-{index}", service)
+        self.backend_proxy = Proxy((self.ip, PORTS["backend"]), (self.ip, PORTS["backend"] + 100))
+        self.store_proxy = Proxy((STORE_IP, 7400 + index), (STORE_IP, 7309))
+        self.process = None
+
+    def settings(self):
+        return {"vm": f"node-{self.index}", "data_centre": self.zone, "service": self.service,
+                "backend_address": f"{self.ip}:{PORTS['backend']}", "callers_address": f"{self.ip}:{PORTS['callers']}",
+                "peers_address": f"{self.ip}:{PORTS['peers']}", "readiness_address": f"{self.ip}:{PORTS['ready']}",
+                "query_port": PORTS["query"], "store_address": f"{STORE_IP}:{7400 + self.index}", "bounds": BOUNDS}
+
+    async def start_process(self):
+        path = os.path.join(self.fleet.folder, f"node-{self.index}.json")
+        with open(path, "w") as file:
+            json.dump(self.settings(), file)
+        log = open(os.path.join(self.fleet.folder, f"node-{self.index}.log"), "ab")
+        self.process = await asyncio.create_subprocess_exec(
+            self.fleet.program, "--settings", path, stdout=log, stderr=log)
+        log.close()
+
+    def signal(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self):
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+
+    async def is_ready(self):
+        try:
+            reply = await self.fleet.send(self, "GET", "/v1/ready", port=PORTS["ready"], deadline=1000)
+            return reply is not None and reply.status == 200
+        except OSError:
+            return False
+
+
+class Fleet:
+    """Nodes 0..n-1 with their backend servers, spread over the zones a and b."""
+
+    def __init__(self, program, folder, services, delay_store=False):
+        self.program, self.folder = program, folder
+        self.store = Store()
+        self.nodes = [Node(self, i, service, "ab"[i % 2]) for i, service in enumerate(services)]
+        self.version = 1
+        self.next_id = 0
+
+    async def start(self, with_config=True):
+        await self.store.start(7309)
+        for node in self.nodes:
+            await node.backend.start(node.ip, PORTS["backend"] + 100)
+            await node.backend_proxy.start()
+            await node.store_proxy.start()
+            self.register(node)
+        if with_config:
+            self.configure([self.route("/s/", "safe", "one"), self.route("/u/", "unsafe", "one")])
+        for node in self.nodes:
+            await node.start_process()
+        if with_config:
+            await self.wait_ready()
+
+    async def wait_ready(self, timeout=8.0):
+        end = time.monotonic() + timeout
+        for node in self.nodes:
+            while not await node.is_ready():
+                if time.monotonic() > end:
+                    raise AssertionError(f"node {node.index} is not ready after {timeout} s")
+                await asyncio.sleep(0.05)
+        # Each node knows its peers once the entries have been read by a node whose turn it is.
+        await asyncio.sleep(0.3)
+
+    async def stop(self):
+        for node in self.nodes:
+            if node.process and node.process.returncode is None:
+                await node.kill()
+            await node.backend.stop()
+            await node.backend_proxy.stop()
+            await node.store_proxy.stop()
+        self.store.server.close()
+
+    def register(self, node, state="ready"):
+        self.store.put(f"servers/{node.backend.instance}", node.backend.entry(node.ip, node.zone, state))
+
+    @staticmethod
+    def route(prefix, kind, service, timeout="2000ms"):
+        return {"typeUrl": "routes", "metadata": {"name": f"r{prefix}"},
+                "spec": {"host": "h.example", "prefix": prefix, "kind": kind, "timeout": timeout,
+                         "targetLatency": "500ms", "priority": 1, "service": service, "maxAttempts": 2}}
+
+    def configure(self, routes):
+        self.version += 3
+        services = [{"typeUrl": "services", "metadata": {"name": name},
+                     "spec": {"healthPath": "/health", "maxConnections": 250, "coldStart": "3s", "coldPerS": 11.0}}
+                    for name in sorted({node.service for node in self.nodes})]
+        limits = [{"typeUrl": "limits", "metadata": {},
+                   "spec": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeout": "3000ms",
+                            "idleTimeout": "15000ms"}}]
+        self.store.put("op/config", json.dumps(
+            {"version": f"{self.version:08x}", "resources": routes + services + limits}).encode())
+
+    def new_id(self):
+        self.next_id += 1
+        return f"id{self.next_id:08d}"
+
+    async def send(self, node, method, path, deadline=2000, request_id=None, fields="", leave_after=None, port=None,
+                   body=b""):
+        """Returns a Reply, or None if the connection ended without a whole head or the client left."""
+        request_id = request_id or self.new_id()
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection(node.ip, port or PORTS["callers"]), 1.0)
+        try:
+            writer.write((f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {request_id}\r\n"
+                          f"Deadline-Ms: {deadline}\r\nContent-Length: {len(body)}\r\n{fields}\r\n").encode() + body)
+            if leave_after is not None:
+                await asyncio.sleep(leave_after)
+                return None
+            head = await asyncio.wait_for(read_head(reader), deadline / 1000 + 5)
+            if not head:
+                return None
+            status, answer_fields = int(head[0].split(" ")[1]), head[1]
+            length = int(answer_fields.get("content-length", 0))
+            try:
+                answer = await asyncio.wait_for(reader.readexactly(length), 10)
+            except asyncio.IncompleteReadError as cut:
+                return Reply(status, answer_fields, cut.partial, False)
+            return Reply(status, answer_fields, answer, True)
+        except (OSError, asyncio.TimeoutError):
+            return None
+        finally:
+            writer.close()
--- /dev/null
+++ b/tests/relay/test_rules.py
@@ -0,0 +1,279 @@
+"""One test for each promise of the relay, on real node processes and stand-ins: each fails when the promise breaks.
+
+Usage: test_rules.py PROGRAM [unittest arguments]"""
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from fleet import Fleet, PORTS  # noqa: E402
+
+PROGRAM = sys.argv.pop(1) if len(sys.argv) > 1 else "build/bin/snipeweir-platform"
+
+
+class RuleTest(unittest.IsolatedAsyncioTestCase):
+    services = ["one", "one", "one", "two"]
+
+    async def asyncSetUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.fleet = Fleet(PROGRAM, self.folder.name, self.services)
+        await self.fleet.start(with_config=self.id().find("before_configuration") < 0)
+
+    async def asyncTearDown(self):
+        await self.fleet.stop()
+        self.folder.cleanup()
+
+    def backends(self, service="one"):
+        return [node.backend for node in self.fleet.nodes if node.service == service]
+
+    def runs(self, request_id):
+        return sum(backend.started.count(request_id) for node in self.fleet.nodes for backend in [node.backend])
+
+    def set_mode(self, mode, service="one"):
+        for backend in self.backends(service):
+            backend.mode = mode
+
+    async def burst(self, count, path="/s/x", method="GET", **more):
+        nodes = self.fleet.nodes
+        return await asyncio.gather(
+            *(self.fleet.send(nodes[i % len(nodes)], method, path, **more) for i in range(count)))
+
+    # What callers get.
+
+    async def test_requests_of_all_nodes_are_served_whole(self):
+        for reply in await self.burst(40):
+            self.assertEqual((reply.status, reply.is_whole, reply.body), (200, True, b"x" * 300))
+            self.assertIn("server-seal", reply.fields)
+
+    async def test_at_most_once_request_whose_answer_is_lost_ran_once_and_is_not_called_refused(self):
+        self.set_mode("reset_after_run")
+        for _ in range(6):
+            request_id = self.fleet.new_id()
+            reply = await self.fleet.send(self.fleet.nodes[3], "POST", "/u/x", request_id=request_id)
+            self.assertEqual(reply.status, 502)
+            self.assertEqual(self.runs(request_id), 1)
+
+    async def test_at_most_once_request_at_a_killed_node_is_not_called_refused(self):
+        self.set_mode("hang")
+        ids = [self.fleet.new_id() for _ in range(4)]
+        sends = [asyncio.ensure_future(self.fleet.send(self.fleet.nodes[3], "POST", "/u/x", request_id=i)) for i in ids]
+        await asyncio.sleep(0.4)
+        for node in self.fleet.nodes[:3]:
+            await node.kill()
+        for request_id, reply in zip(ids, await asyncio.gather(*sends)):
+            self.assertEqual(self.runs(request_id), 1)
+            self.assertIn(reply.status, (502, 504))
+
+    async def test_refusals_of_at_most_once_requests_are_true(self):
+        self.set_mode("shed")
+        ids = [self.fleet.new_id() for _ in range(10)]
+        replies = await asyncio.gather(*(
+            self.fleet.send(self.fleet.nodes[3], "POST", "/u/x", request_id=i) for i in ids))
+        for request_id, reply in zip(ids, replies):
+            self.assertEqual((reply.status, self.runs(request_id)), (503, 0))
+            self.assertIn("retry-after", reply.fields)
+
+    async def test_answers_that_are_cut_unsigned_or_encoded_are_never_passed_on_as_success(self):
+        for mode in ("cut", "no_seal", "encoded"):
+            self.set_mode(mode)
+            for path, method in (("/s/x", "GET"), ("/u/x", "POST")):
+                reply = await self.fleet.send(self.fleet.nodes[3], method, path)
+                self.assertEqual(reply.status, 502, mode)
+
+    async def test_an_extra_answer_never_reaches_another_request(self):
+        self.set_mode("extra")
+        for _ in range(4):
+            for reply in await self.burst(12) + await self.burst(12, "/u/x", "POST"):
+                self.assertIn(reply.status, (200, 502))
+                if reply.status == 200:
+                    self.assertEqual(reply.body, b"x" * 300)
+
+    async def test_a_failed_idempotent_request_is_repeated_at_another_server_within_the_budget(self):
+        self.backends()[0].mode = "reset_after_run"
+        replies = [reply for _ in range(4) for reply in await self.burst(15)]  # 24 slots are usable at once.
+        served = sum(reply.status == 200 for reply in replies)
+        arrivals = sum(len(backend.arrivals) for backend in self.backends())
+        self.assertGreaterEqual(served, 55)
+        self.assertLessEqual(arrivals - 60, 0.2 * 60 + 64)
+
+    async def test_repeats_stay_within_the_budget_while_every_server_fails(self):
+        self.set_mode("error")
+        for _ in range(10):
+            await self.burst(40)
+        arrivals = sum(len(backend.arrivals) for backend in self.backends())
+        self.assertLessEqual(arrivals - 400, 0.2 * 400 + 64)
+
+    async def test_no_server_gets_a_deadline_beyond_the_callers(self):
+        await self.burst(8, deadline=700)
+        for backend in self.backends():
+            for _, _, _, fields in backend.arrivals:
+                self.assertLessEqual(int(fields["deadline-ms"]), 700)
+
+    async def test_the_routes_timeout_ends_a_request(self):
+        self.fleet.configure([self.fleet.route("/s/", "safe", "one", "600ms")])
+        await asyncio.sleep(1.5)
+        self.set_mode("hang")
+        start = time.monotonic()
+        reply = await self.fleet.send(self.fleet.nodes[3], "GET", "/s/x", deadline=3000)
+        self.assertEqual(reply.status, 504)
+        self.assertLess(time.monotonic() - start, 0.85)
+
+    async def test_a_caller_that_leaves_stops_the_work(self):
+        self.set_mode("hang")
+        request_id = self.fleet.new_id()
+        await self.fleet.send(self.fleet.nodes[3], "GET", "/s/x", request_id=request_id, leave_after=0.15)
+        left = time.monotonic()
+        await asyncio.sleep(0.5)
+        dropped = [at for backend in self.backends() for at, i in backend.dropped if i == request_id]
+        self.assertTrue(dropped)
+        self.assertLess(max(dropped) - left, 0.5)
+
+    async def test_the_callers_service_is_set_by_the_node(self):
+        await self.fleet.send(self.fleet.nodes[3], "GET", "/s/x", fields="Caller-Service: forged\r\n")
+        seen = {fields["caller-service"] for b in self.backends() for _, _, _, fields in b.arrivals}
+        self.assertEqual(seen, {"two"})
+
+    async def test_ambiguous_requests_are_rejected_and_reach_no_server(self):
+        reply = await self.fleet.send(self.fleet.nodes[0], "POST", "/u/x", fields="Transfer-Encoding: chunked\r\n",
+                                      body=b"0\r\n\r\nGET /s/smuggled HTTP/1.1\r\n\r\n")
+        self.assertTrue(reply is None or reply.status == 400)
+        self.assertEqual(sum(len(backend.arrivals) for backend in self.backends()), 0)
+
+    # What operators decide.
+
+    async def test_before_configuration_requests_are_refused_and_not_denied(self):
+        reply = await self.fleet.send(self.fleet.nodes[0], "GET", "/s/x")
+        self.assertEqual(reply.status, 503)
+        self.assertFalse(await self.fleet.nodes[0].is_ready())
+
+    async def test_a_new_configuration_is_in_force_everywhere_within_two_seconds_and_never_reverts(self):
+        self.assertEqual((await self.fleet.send(self.fleet.nodes[0], "GET", "/n/x")).status, 404)
+        self.fleet.configure([self.fleet.route("/n/", "safe", "two")])
+        await asyncio.sleep(2)
+        for _ in range(5):
+            for reply in await self.burst(8, "/n/x"):
+                self.assertEqual(reply.status, 200)
+            for reply in await self.burst(4, "/s/x"):
+                self.assertEqual(reply.status, 404)
+
+    async def test_a_draining_server_gets_no_requests_after_two_seconds(self):
+        leaving = self.fleet.nodes[0]
+        self.fleet.register(leaving, "draining")
+        await asyncio.sleep(2)
+        end = time.monotonic()
+        await self.burst(40)
+        self.assertFalse([a for a in leaving.backend.arrivals if a[0] > end])
+
+    async def test_a_server_whose_entry_is_removed_gets_no_requests_after_two_seconds(self):
+        leaving = self.fleet.nodes[1]
+        self.fleet.store.remove(f"servers/{leaving.backend.instance}")
+        await asyncio.sleep(2)
+        end = time.monotonic()
+        await self.burst(40)
+        self.assertFalse([a for a in leaving.backend.arrivals if a[0] > end])
+
+    async def test_an_evacuated_data_centre_gets_no_requests_and_comes_back(self):
+        self.fleet.store.put("op/evacuate/a", b"{}")
+        await asyncio.sleep(2)
+        end = time.monotonic()
+        for reply in await self.burst(20):
+            self.assertEqual(reply.status, 200)
+        in_a = [n.backend for n in self.fleet.nodes if n.zone == "a"]
+        self.assertFalse([a for backend in in_a for a in backend.arrivals if a[0] > end])
+        self.fleet.store.remove("op/evacuate/a")
+        await asyncio.sleep(2)
+        await self.burst(40)
+        self.assertTrue([a for backend in in_a for a in backend.arrivals if a[0] > end])
+
+    async def test_a_reused_address_never_runs_a_request_of_its_old_service(self):
+        node = self.fleet.nodes[0]
+        node.backend.instance = "i-other"
+        replies = await self.burst(20)
+        self.assertEqual(node.backend.arrivals, [])
+        self.assertGreaterEqual(sum(reply.status == 200 for reply in replies), 15)
+
+    # Stops, cold servers and a source that is out of order.
+
+    async def test_a_planned_stop_cuts_off_no_request(self):
+        for backend in self.backends():
+            backend.work = 1.0
+        sends = [asyncio.ensure_future(self.fleet.send(node, "POST", "/u/x", deadline=4000))
+                 for node in self.fleet.nodes for _ in range(3)]
+        await asyncio.sleep(0.3)
+        self.fleet.nodes[0].signal(signal.SIGTERM)
+        self.fleet.nodes[3].signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        self.assertFalse(await self.fleet.nodes[0].is_ready())
+        for reply in await asyncio.gather(*sends):
+            self.assertEqual(reply.status, 200)
+        for node in (self.fleet.nodes[0], self.fleet.nodes[3]):
+            self.assertEqual(await asyncio.wait_for(node.process.wait(), 6), 0)
+
+    async def test_a_cold_server_gets_no_more_than_it_bears(self):
+        for backend in self.backends():
+            backend.cold_until = time.monotonic() + 4
+        await asyncio.sleep(0.4)
+        for _ in range(8):
+            await self.burst(30)
+        for backend in self.backends():
+            times = [a[0] for a in backend.arrivals]
+            for first in times:
+                self.assertLessEqual(sum(first <= t < first + 1 for t in times), 11 * 1.5 + 5)
+
+    async def test_requests_are_served_while_the_store_is_silent(self):
+        self.fleet.store.mode = "silent"
+        await asyncio.sleep(4)
+        for reply in await self.burst(20):
+            self.assertEqual(reply.status, 200)
+
+    async def test_a_node_that_the_store_turns_away_is_served_by_the_others(self):
+        node = self.fleet.nodes[2]
+        node.store_proxy.set_mode("reset")
+        await node.kill()
+        await node.start_process()
+        await self.fleet.wait_ready(6)
+        self.assertEqual((await self.fleet.send(node, "GET", "/s/x")).status, 200)
+
+    async def test_a_restart_of_every_node_at_once_is_followed_by_service(self):
+        await asyncio.gather(*(node.kill() for node in self.fleet.nodes))
+        for node in self.fleet.nodes:
+            await node.start_process()
+        await self.fleet.wait_ready(6)
+        await asyncio.sleep(0.5)
+        replies = await self.burst(20)
+        self.assertGreaterEqual(sum(reply.status == 200 for reply in replies), 18)
+
+    async def test_connections_that_went_silent_are_given_up_for_new_ones(self):
+        await self.burst(20)
+        for node in self.fleet.nodes[:2]:
+            node.backend_proxy.set_mode("silent")
+        await asyncio.sleep(0.1)
+        await self.burst(6, deadline=1000)
+        for node in self.fleet.nodes[:2]:
+            node.backend_proxy.set_mode("pass")
+        await asyncio.sleep(2.5)
+        replies = await self.burst(20)
+        self.assertGreaterEqual(sum(reply.status == 200 for reply in replies), 19)
+
+    async def test_a_suspended_node_runs_nothing_whose_deadline_has_passed(self):
+        for node in self.fleet.nodes[:3]:
+            node.signal(signal.SIGSTOP)
+        ids = [self.fleet.new_id() for _ in range(4)]
+        await asyncio.gather(*(self.fleet.send(self.fleet.nodes[3], "POST", "/u/x", deadline=500, request_id=i)
+                               for i in ids))
+        await asyncio.sleep(0.6)
+        before = [self.runs(i) for i in ids]
+        for node in self.fleet.nodes[:3]:
+            node.signal(signal.SIGCONT)
+        await asyncio.sleep(1)
+        self.assertEqual([self.runs(i) for i in ids], before)
+        self.assertEqual(sum(before), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
