--- a/snipeweir/admission/ServerGate.cpp
+++ b/snipeweir/admission/ServerGate.cpp
@@ -129,7 +129,7 @@
     const SteadyTime now = m_clock.now();
     std::vector<Decision> decisions;
     std::deque<Waiting> kept;
-    for (Waiting& waiting : m_waiting) {
+    for (const Waiting& waiting : m_waiting) {
         if (m_closed != Reason::None)
             decisions.push_back({ waiting.ticket.id, Verdict::Refused, m_closed });
         else if (waiting.refuseAt <= now)
@@ -137,7 +137,7 @@
         else if (kept.empty() && takeSlot())
             decisions.push_back({ waiting.ticket.id, Verdict::Admitted, Reason::None });
         else
-            kept.push_back(std::move(waiting));
+            kept.push_back(waiting);
     }
     m_waiting = std::move(kept);
     return decisions;
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -62,8 +62,9 @@
     bool isTaken = false;
 };
 
-CallerPath::CallerPath(asio::any_io_executor executor, const Clock& clock, Settings settings, const RelaySettings& node,
-    const WireNames& names, const FleetView& view, PeerLoads& peers, ServerPath& server, JsonLog& log, uint64_t seed)
+CallerPath::CallerPath(const asio::any_io_executor& executor, const Clock& clock, Settings settings,
+    const RelaySettings& node, const WireNames& names, const FleetView& view, PeerLoads& peers, ServerPath& server,
+    JsonLog& log, uint64_t seed)
     : m_executor(executor)
     , m_clock(clock)
     , m_settings(settings)
@@ -137,7 +138,7 @@
 
     request.method = std::string(message.method_string());
     request.target = std::string(target);
-    request.headers = HopCodec::passedFields(
+    request.headers = hop_codec::passedFields(
         message, { m_names.callId, m_names.deadline, m_names.expectedInstance, m_names.callerService });
     request.body = std::move(message.body());
     request.id = CallId(id);
@@ -303,12 +304,12 @@
     });
     const SteadyTime deadline = request.deadline + answerSlack;
     End end = co_await exchange->send(
-        HopCodec::requestHead(request, m_names.callId, m_clock.now()), request.body, deadline);
+        hop_codec::requestHead(request, m_names.callId, m_clock.now()), request.body, deadline);
     if (end == End::Complete)
         end = co_await exchange->readHead(deadline);
     std::optional<Answer> answer;
     if (end == End::Complete)
-        answer = HopCodec::decodeAnswer(*exchange);
+        answer = hop_codec::decodeAnswer(*exchange);
     if (answer && end == End::Complete) {
         end = co_await exchange->readBodyUpTo(answer->body, collectedBytes, deadline);
         if (end == End::More)
@@ -433,7 +434,7 @@
 asio::awaitable<bool> CallerPath::writeOwn(
     CallerConnection& connection, unsigned status, const std::string& callId, Reason reason)
 {
-    std::string head = HopCodec::statusLine(status);
+    std::string head = hop_codec::statusLine(status);
     if (!callId.empty())
         head.append(m_names.callId).append(": ").append(callId).append("\r\n");
     head.append("Snipeweir-Reason: ").append(reasonName(reason)).append("\r\n");
@@ -460,8 +461,8 @@
     }
 
     ++m_counters.served;
-    std::string head = HopCodec::statusLine(answer.status);
-    HopCodec::appendFields(head, answer.headers);
+    std::string head = hop_codec::statusLine(answer.status);
+    hop_codec::appendFields(head, answer.headers);
     size_t bytes = answer.body.size();
     bool isWritten = false;
     if (!answer.rest) {
--- a/snipeweir/relay/CallerPath.h
+++ b/snipeweir/relay/CallerPath.h
@@ -39,8 +39,8 @@
         uint64_t offersRefused = 0;
     };
 
-    CallerPath(asio::any_io_executor, const Clock&, Settings, const RelaySettings&, const WireNames&, const FleetView&,
-        PeerLoads&, ServerPath&, JsonLog&, uint64_t seed);
+    CallerPath(const asio::any_io_executor&, const Clock&, Settings, const RelaySettings&, const WireNames&,
+        const FleetView&, PeerLoads&, ServerPath&, JsonLog&, uint64_t seed);
 
     /// Serves one connection until it ends.
     asio::awaitable<void> serve(asio::ip::tcp::socket);
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -71,7 +71,7 @@
 
 }
 
-FleetFollower::FleetFollower(asio::any_io_executor executor, const Clock& clock, const RelaySettings& node,
+FleetFollower::FleetFollower(const asio::any_io_executor& executor, const Clock& clock, const RelaySettings& node,
     FleetSource source, FleetView& view, PeerLoads& peers, JsonLog& log)
     : m_executor(executor)
     , m_clock(clock)
--- a/snipeweir/relay/HopCodec.cpp
+++ b/snipeweir/relay/HopCodec.cpp
@@ -5,7 +5,7 @@
 #include <boost/beast/http/status.hpp>
 #include <sstream>
 
-namespace snipeweir::HopCodec {
+namespace snipeweir::hop_codec {
 
 namespace {
 
--- a/snipeweir/relay/HopCodec.h
+++ b/snipeweir/relay/HopCodec.h
@@ -10,7 +10,7 @@
 
 /// How a request and its answer travel between two nodes: HTTP/1.1 as the caller sent it, with one field that holds
 /// what the serving node needs, and one on the answer that says what became of the request.
-namespace HopCodec {
+namespace hop_codec {
 
     /// @return Request line and fields for the next node.
     std::string requestHead(const RelayRequest&, const std::string& callIdField, SteadyTime now);
--- a/snipeweir/relay/PeerLoads.cpp
+++ b/snipeweir/relay/PeerLoads.cpp
@@ -85,12 +85,11 @@
     known.roundTrip = (known.roundTrip * 7 + sample) / 8;
     ++question.replies;
     std::erase(question.open, ip);
-    if (question.open.empty())
+    const bool isUsualWaitOver = now >= question.sentAt + m_settings.usualWait;
+    if (question.open.empty() || isUsualWaitOver)
         question.timer.cancel();
-    else if (question.replies == 1 && now < question.sentAt + m_settings.usualWait)
+    else if (question.replies == 1)
         question.timer.expires_at(question.sentAt + m_settings.usualWait);
-    else if (now >= question.sentAt + m_settings.usualWait)
-        question.timer.cancel();
 }
 
 asio::awaitable<void> PeerLoads::ask(const std::vector<std::string>& ips)
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -150,7 +150,7 @@
             break;
         const std::string target(connection.request().target());
         if (const auto document = m_follower.packedDocument(target)) {
-            std::string head = HopCodec::statusLine(200);
+            std::string head = hop_codec::statusLine(200);
             head.append(FleetFollower::revisionField).append(": ");
             head.append(std::to_string(document->revision.value)).append("\r\n");
             co_await connection.writeWhole(std::move(head), document->text, m_clock.now() + peerWriteTimeout);
@@ -165,9 +165,9 @@
 
 asio::awaitable<void> Relay::runForPeer(CallerConnection& connection)
 {
-    auto request = HopCodec::decodeRequest(connection.request(), m_names.callId, m_clock.now());
+    auto request = hop_codec::decodeRequest(connection.request(), m_names.callId, m_clock.now());
     if (!request) {
-        co_await connection.writeWhole(HopCodec::statusLine(404), std::string(), m_clock.now() + peerWriteTimeout);
+        co_await connection.writeWhole(hop_codec::statusLine(404), std::string(), m_clock.now() + peerWriteTimeout);
         co_return;
     }
     Answer answer = Answer::notRun(Reason::WrongEndpoint);
@@ -177,7 +177,7 @@
         answer = co_await m_server.run(*request, *cancellation);
         connection.stopWatching();
     }
-    std::string head = HopCodec::answerHead(answer);
+    std::string head = hop_codec::answerHead(answer);
     const SteadyTime deadline = m_clock.now() + peerWriteTimeout;
     if (answer.rest)
         co_await connection.writeStreamed(
@@ -203,7 +203,7 @@
         } else if (target == m_names.readyPath) {
             status = isReady() ? 200 : 503;
         }
-        co_await connection.writeWhole(HopCodec::statusLine(status), body, deadline);
+        co_await connection.writeWhole(hop_codec::statusLine(status), body, deadline);
     }
     connection.close();
 }
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -24,8 +24,8 @@
 
 }
 
-ServerPath::ServerPath(asio::any_io_executor executor, const Clock& clock, Settings settings, const RelaySettings& node,
-    const WireNames& names, const FleetView& view, JsonLog& log)
+ServerPath::ServerPath(const asio::any_io_executor& executor, const Clock& clock, Settings settings,
+    const RelaySettings& node, const WireNames& names, const FleetView& view, JsonLog& log)
     : m_executor(executor)
     , m_clock(clock)
     , m_settings(settings)
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -36,8 +36,8 @@
         uint64_t foreignAnswers = 0;
     };
 
-    ServerPath(asio::any_io_executor, const Clock&, Settings, const RelaySettings&, const WireNames&, const FleetView&,
-        JsonLog&);
+    ServerPath(const asio::any_io_executor&, const Clock&, Settings, const RelaySettings&, const WireNames&,
+        const FleetView&, JsonLog&);
 
     /// Runs the request at most once.
     asio::awaitable<Answer> run(const RelayRequest&, Cancellation&);
