--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -20,8 +20,8 @@
         uint64_t fetches = 0;
     };
 
-    FleetFollower(
-        asio::any_io_executor, const Clock&, const RelaySettings&, FleetSource, FleetView&, PeerLoads&, JsonLog&);
+    FleetFollower(const asio::any_io_executor&, const Clock&, const RelaySettings&, FleetSource, FleetView&, PeerLoads&,
+        JsonLog&);
 
     asio::awaitable<void> followBackends();
     asio::awaitable<void> followOperators();
