Trace a request through the logs of many nodes; count outcomes, repeats and latencies

Cause: on-call engineers have only logs and metrics. snipeweirctl trace ID FILE... orders one request's lines, with the calls it led to, and names what is missing; metrics reuse the Metrics class with its histograms.

--- a/programs/snipeweirctl/CommandLine.cpp
+++ b/programs/snipeweirctl/CommandLine.cpp
@@ -16,6 +16,8 @@
         size_t arguments = 0;
         std::set<std::string> required;
         std::set<std::string> optional;
+        /// Whether more arguments may follow.
+        bool takesMore = false;
     };
 
     const std::map<std::string, CommandRule>& commandRules()
@@ -29,6 +31,7 @@
             { "fleet", { 0, { "node" }, { "timeout-ms" } } },
             { "events", { 0, { "node" }, { "timeout-ms" } } },
             { "explain", { 1, { "node" }, { "timeout-ms" } } },
+            { "trace", { 2, {}, {}, true } },
         };
         return rules;
     }
@@ -45,7 +48,8 @@
             "  status           print the state of a node\n"
             "  fleet            print what a node knows of the fleet\n"
             "  events           print the latest changes in what a node holds to be true\n"
-            "  explain CALL_ID  print how a node decided on a call\n");
+            "  explain CALL_ID  print how a node decided on a call\n"
+            "  trace ID FILE... print a request's path through the logs of many nodes\n");
         options.positional_help("COMMAND [ARGUMENT...]");
         options.add_options()("as", "kind of the file for check: configuration, vms or settings",
             cxxopts::value<std::string>()->default_value("configuration"),
@@ -78,9 +82,11 @@
         const auto rule = commandRules().find(line.command);
         if (rule == commandRules().end())
             return fail(ErrorCode::InvalidArgument, "The command " + line.command + " is unknown.");
-        if (line.arguments.size() != rule->second.arguments)
+        const bool isCountRight = rule->second.takesMore ? line.arguments.size() >= rule->second.arguments
+                                                         : line.arguments.size() == rule->second.arguments;
+        if (!isCountRight)
             return fail(ErrorCode::InvalidArgument,
-                line.command + " takes " + std::to_string(rule->second.arguments) + " arguments, found "
+                line.command + " takes " + (rule->second.takesMore ? "at least " : "") + std::to_string(rule->second.arguments) + " arguments, found "
                     + std::to_string(line.arguments.size()) + ".");
         for (const std::string& name : rule->second.required) {
             if (!options.count(name))
--- a/programs/snipeweirctl/FileCommands.cpp
+++ b/programs/snipeweirctl/FileCommands.cpp
@@ -5,6 +5,9 @@
 #include "snipeweir/configuration/ConfigurationDiff.h"
 #include "snipeweir/configuration/NodeSettings.h"
 #include "snipeweir/configuration/TextFile.h"
+#include "snipeweir/telemetry/RequestTrace.h"
+
+#include <fstream>
 
 namespace snipeweir {
 
@@ -43,6 +46,8 @@
 {
     if (m_line.command == "keys")
         return keys();
+    if (m_line.command == "trace")
+        return trace();
     if (!loadVmList())
         return ExitCode::FileFaults;
     if (m_line.command == "check")
@@ -50,6 +55,51 @@
     return m_line.command == "effective" ? effective() : diff();
 }
 
+ExitCode FileCommands::trace()
+{
+    RequestTrace trace(m_line.arguments.front());
+    ExitCode code = ExitCode::Ok;
+    for (size_t index = 1; index < m_line.arguments.size(); ++index) {
+        std::ifstream file(m_line.arguments[index]);
+        if (!file) {
+            m_errors << m_line.arguments[index] << ": cannot be read\n";
+            code = ExitCode::FileFaults;
+            continue;
+        }
+        trace.read(file);
+    }
+
+    Json::Value result(Json::objectValue);
+    result["id"] = m_line.arguments.front();
+    result["steps"] = Json::arrayValue;
+    for (const RequestTrace::Step& step : trace.steps()) {
+        Json::Value row(Json::objectValue);
+        row["at_ms"] = Json::Int64(step.atMs);
+        row["node"] = step.node;
+        row["event"] = step.event;
+        row["id"] = step.id;
+        std::string fields;
+        for (const std::string& field : step.fields)
+            fields.append(fields.empty() ? "" : " ").append(field);
+        row["fields"] = fields;
+        result["steps"].append(row);
+    }
+    result["open"] = Json::arrayValue;
+    for (const std::string& gap : trace.gaps())
+        result["open"].append(gap);
+    result["foreign_lines"] = Json::UInt64(trace.foreignLines());
+    if (m_line.format == OutputFormat::Json) {
+        printJson(m_out, result);
+        return code;
+    }
+    TablePrinter(m_out).printRows(result["steps"], { "at_ms", "node", "event", "id", "fields" });
+    for (const Json::Value& gap : result["open"])
+        m_out << gap.asString() << '\n';
+    if (trace.foreignLines() > 0)
+        m_out << trace.foreignLines() << " lines are cut or not of this product.\n";
+    return code;
+}
+
 std::optional<std::string> FileCommands::read(const std::string& path)
 {
     return handleErrors(
--- a/programs/snipeweirctl/FileCommands.h
+++ b/programs/snipeweirctl/FileCommands.h
@@ -11,7 +11,7 @@
 
 namespace snipeweir {
 
-/// Commands that work on files: check, effective, diff and keys.
+/// Commands that work on files: check, effective, diff, keys and trace.
 class FileCommands {
 public:
     /// @param line Checked command line.
@@ -27,6 +27,7 @@
     ExitCode effective();
     ExitCode diff();
     ExitCode keys();
+    ExitCode trace();
 
     /// @return The file's text; empty after the failure was printed.
     std::optional<std::string> read(const std::string& path);
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -64,7 +64,7 @@
 
 CallerPath::CallerPath(const asio::any_io_executor& executor, const Clock& clock, Settings settings,
     const RelaySettings& node, const WireNames& names, const FleetView& view, PeerLoads& peers, ServerPath& server,
-    JsonLog& log, uint64_t seed)
+    JsonLog& log, Metrics& metrics, uint64_t seed)
     : m_executor(executor)
     , m_clock(clock)
     , m_settings(settings)
@@ -74,6 +74,7 @@
     , m_peers(peers)
     , m_server(server)
     , m_log(log)
+    , m_metrics(metrics)
     , m_random(seed)
     , m_placement(Placement::Settings())
     , m_splitter(seed + 1)
@@ -158,28 +159,38 @@
     connection.stopWatching();
 
     const bool isWritten = !call->hasLeft && co_await writeAnswer(connection, *call);
-    const Answer& answer = *call->answer;
-    const bool isOrdinary = answer.kind == Answer::Kind::Served && answer.status < 500 && isWritten;
-    const auto weight = isOrdinary
-        ? JsonLog::Weight::Ordinary
-        : (answer.kind == Answer::Kind::NotRun ? JsonLog::Weight::Refusal : JsonLog::Weight::Odd);
+    logAnswer(*call, isWritten);
+    if (call->hasLeft)
+        ++m_counters.left;
+}
+
+void CallerPath::logAnswer(const Call& call, bool isWritten)
+{
+    const Answer& answer = *call.answer;
+    Outcome outcome = Outcome::Unknown;
+    JsonLog::Weight weight = JsonLog::Weight::Odd;
+    if (answer.kind == Answer::Kind::Served) {
+        outcome = Outcome::Done;
+        if (answer.status < 500 && isWritten)
+            weight = JsonLog::Weight::Ordinary;
+    } else if (answer.kind == Answer::Kind::NotRun) {
+        outcome = Outcome::NotRun;
+        weight = JsonLog::Weight::Refusal;
+    }
     std::string nodes;
-    for (const std::string& ip : call->tried)
+    for (const std::string& ip : call.tried)
         nodes.append(nodes.empty() ? "" : ",").append(ip);
-    m_log.request(weight, "answered", request.id,
-        { { "route", route.name }, { "service", request.service.text() },
-            { "outcome",
-                std::string(outcomeName(answer.kind == Answer::Kind::Served
-                        ? Outcome::Done
-                        : (answer.kind == Answer::Kind::NotRun ? Outcome::NotRun : Outcome::Unknown))) },
-            { "status", std::to_string(answer.status) }, { "reason", std::string(reasonName(answer.reason)) },
-            { "left", call->hasLeft ? "true" : "false" }, { "written", isWritten ? "true" : "false" },
-            { "nodes", nodes }, { "sends", std::to_string(call->sends) },
-            { "took_us", microsecondsText(m_clock.now() - call->startedAt) },
-            { "configuration", std::to_string(call->routes->configuration().version.value) },
+    const auto took = std::chrono::duration_cast<std::chrono::microseconds>(m_clock.now() - call.startedAt);
+    m_metrics.countOutcome(outcome, answer.reason);
+    m_metrics.observeLatency("calling", took);
+    m_log.request(weight, "answered", call.request.id,
+        { { "route", call.route->name }, { "service", call.request.service.text() },
+            { "outcome", std::string(outcomeName(outcome)) }, { "status", std::to_string(answer.status) },
+            { "reason", std::string(reasonName(answer.reason)) }, { "left", call.hasLeft ? "true" : "false" },
+            { "written", isWritten ? "true" : "false" }, { "nodes", nodes }, { "sends", std::to_string(call.sends) },
+            { "took_us", std::to_string(took.count()) },
+            { "configuration", std::to_string(call.routes->configuration().version.value) },
             { "backends_revision", std::to_string(m_view.backendRevision().value) } });
-    if (call->hasLeft)
-        ++m_counters.left;
 }
 
 RetryBudget& CallerPath::budget(const ServiceName& service)
@@ -197,16 +208,18 @@
         .first->second;
 }
 
-bool CallerPath::mayRepeat(Call& call)
+bool CallerPath::mayRepeat(Call& call, RetryReason reason)
 {
+    RetryReason decision = reason;
     if (call.sends >= call.route->maxAttempts)
-        return false;
-    if (!budget(call.request.service).take()) {
-        ++m_counters.repeatsDenied;
-        return false;
-    }
-    ++m_counters.repeats;
-    return true;
+        decision = RetryReason::DeniedByAttempts;
+    else if (!budget(call.request.service).take())
+        decision = RetryReason::DeniedByBudget;
+    m_metrics.countRetry(decision);
+    m_log.request(JsonLog::Weight::Odd, decision == reason ? "repeat" : "repeat_denied", call.request.id,
+        { { "why", std::string(retryReasonName(reason)) }, { "decision", std::string(retryReasonName(decision)) },
+            { "sends", std::to_string(call.sends) }, { "after_us", microsecondsText(m_clock.now() - call.startedAt) } });
+    return decision == reason;
 }
 
 asio::awaitable<const BackendEntry*> CallerPath::choose(Call& call, RelayRequest& request)
@@ -277,8 +290,13 @@
     profile.targetLeft = std::chrono::duration_cast<std::chrono::microseconds>(request.targetAt - chosenAt);
     profile.answerBytes = statistics.answerBytes;
     const auto best = m_placement.choose(profile, candidates);
-    if (!best)
+    if (!best) {
+        m_log.request(JsonLog::Weight::Refusal, "no_choice", request.id,
+            { { "service", request.service.text() }, { "usable", std::to_string(options.size()) },
+                { "asked", std::to_string(asked.size()) }, { "known", std::to_string(candidates.size()) },
+                { "backends_revision", std::to_string(m_view.backendRevision().value) } });
         co_return nullptr;
+    }
     const BackendEntry* entry = entries[*best];
     request.instance = entry->instance;
     // Until the next report the node counts this request itself.
@@ -385,9 +403,10 @@
                 if (!answer.wasSent)
                     --call->sends;
                 const bool mayOffer = call->offers < m_settings.maxOffers
-                    && (answer.wasSent ? mayRepeat(*call) : call->sends < call->route->maxAttempts);
+                    && (answer.wasSent ? mayRepeat(*call, RetryReason::AfterRefusal) : call->sends < call->route->maxAttempts);
                 mustSend = mustSend || mayOffer;
-            } else if (isRepeatableCall && !call->hasLeft && m_clock.now() < deadline && mayRepeat(*call)) {
+            } else if (isRepeatableCall && !call->hasLeft && m_clock.now() < deadline
+                && mayRepeat(*call, RetryReason::AfterConnectionLost)) {
                 mustSend = true;
             }
             // An answer of a backend server goes before a guess, and a guess before a refusal.
@@ -415,7 +434,7 @@
             hasHedged = true;
             const bool isStillOpen = std::any_of(call->attempts.begin(), call->attempts.end(),
                 [](const auto& attempt) { return !attempt->isTaken && !attempt->answer; });
-            if (isStillOpen && mayRepeat(*call))
+            if (isStillOpen && mayRepeat(*call, RetryReason::Hedge))
                 mustSend = true;
         }
     }
--- a/snipeweir/relay/CallerPath.h
+++ b/snipeweir/relay/CallerPath.h
@@ -6,6 +6,7 @@
 #include "snipeweir/relay/RouteStatistics.h"
 #include "snipeweir/relay/ServerPath.h"
 #include "snipeweir/retry/RetryBudget.h"
+#include "snipeweir/telemetry/Metrics.h"
 #include "snipeweir/routes/TrafficSplitter.h"
 
 namespace snipeweir {
@@ -34,13 +35,11 @@
         uint64_t refused = 0;
         uint64_t failed = 0;
         uint64_t left = 0;
-        uint64_t repeats = 0;
-        uint64_t repeatsDenied = 0;
         uint64_t offersRefused = 0;
     };
 
     CallerPath(const asio::any_io_executor&, const Clock&, Settings, const RelaySettings&, const WireNames&,
-        const FleetView&, PeerLoads&, ServerPath&, JsonLog&, uint64_t seed);
+        const FleetView&, PeerLoads&, ServerPath&, JsonLog&, Metrics&, uint64_t seed);
 
     /// Serves one connection until it ends.
     asio::awaitable<void> serve(asio::ip::tcp::socket);
@@ -65,7 +64,8 @@
     asio::awaitable<void> attempt(std::shared_ptr<Call>, std::shared_ptr<Attempt>);
     asio::awaitable<Answer> sendToPeer(const RelayRequest&, const std::string& ip, Cancellation&);
     asio::awaitable<const BackendEntry*> choose(Call&, RelayRequest&);
-    bool mayRepeat(Call&);
+    bool mayRepeat(Call&, RetryReason);
+    void logAnswer(const Call&, bool isWritten);
     std::chrono::milliseconds retryAfter();
     asio::awaitable<bool> writeAnswer(CallerConnection&, Call&);
     asio::awaitable<bool> writeOwn(CallerConnection&, unsigned status, const std::string& callId, Reason);
@@ -80,6 +80,7 @@
     PeerLoads& m_peers;
     ServerPath& m_server;
     JsonLog& m_log;
+    Metrics& m_metrics;
     Random m_random;
     Placement m_placement;
     TrafficSplitter m_splitter;
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -88,9 +88,8 @@
     , m_peers(m_context.get_executor(), clock, PeerLoads::Settings())
     , m_follower(
           m_context.get_executor(), clock, m_settings, makeSource(m_context.get_executor()), m_view, m_peers, log)
-    , m_server(m_context.get_executor(), clock, ServerPath::Settings(), m_settings, m_names, m_view, log)
-    , m_callers(m_context.get_executor(), clock, CallerPath::Settings(), m_settings, m_names, m_view, m_peers, m_server,
-          log, randomSeed())
+    , m_server(m_context.get_executor(), clock, ServerPath::Settings(), m_settings, m_names, m_view, log, m_metrics)
+    , m_callers(m_context.get_executor(), clock, CallerPath::Settings(), m_settings, m_names, m_view, m_peers, m_server, log, m_metrics, randomSeed())
     , m_signals(m_context, SIGTERM, SIGHUP)
 {
     m_peers.ownLoad = [this] { return m_server.load(); };
@@ -249,7 +248,7 @@
 
 std::string Relay::metricsText() const
 {
-    std::string text;
+    std::string text = m_metrics.text();
     const auto add = [&](std::string_view name, uint64_t value) {
         text.append("snipeweir_").append(name).append(" ").append(std::to_string(value)).append("\n");
     };
@@ -259,8 +258,6 @@
     add("refused_total", callers.refused);
     add("failed_total", callers.failed);
     add("callers_left_total", callers.left);
-    add("repeats_total", callers.repeats);
-    add("repeats_denied_total", callers.repeatsDenied);
     add("offers_refused_total", callers.offersRefused);
     const ServerPath::Counters& server = m_server.counters();
     add("server_sent_total", server.sent);
--- a/snipeweir/relay/Relay.h
+++ b/snipeweir/relay/Relay.h
@@ -49,6 +49,7 @@
     WireNames m_names;
     const Clock& m_clock;
     JsonLog& m_log;
+    Metrics m_metrics;
     FleetView m_view;
     PeerLoads m_peers;
     FleetFollower m_follower;
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -25,7 +25,7 @@
 }
 
 ServerPath::ServerPath(const asio::any_io_executor& executor, const Clock& clock, Settings settings,
-    const RelaySettings& node, const WireNames& names, const FleetView& view, JsonLog& log)
+    const RelaySettings& node, const WireNames& names, const FleetView& view, JsonLog& log, Metrics& metrics)
     : m_executor(executor)
     , m_clock(clock)
     , m_settings(settings)
@@ -33,6 +33,7 @@
     , m_names(names)
     , m_view(view)
     , m_log(log)
+    , m_metrics(metrics)
     , m_gate(ServerGate::Settings(), clock)
     , m_pool(executor, clock, ConnectionPool::Settings())
     , m_gateTimer(executor)
@@ -144,6 +145,7 @@
     const ServerGate::Decision decision = co_await admit(ticket, cancellation);
     if (decision.verdict == ServerGate::Verdict::Refused) {
         ++m_counters.refused;
+        m_metrics.count("snipeweir_server_refusals_total_" + std::string(reasonName(decision.reason)));
         const NodeLoad now = m_gate.load();
         m_log.request(JsonLog::Weight::Refusal, "refused", request.id,
             { { "reason", std::string(reasonName(decision.reason)) }, { "running", std::to_string(now.running) },
@@ -165,6 +167,7 @@
     Answer answer = co_await exchange(request, cancellation, run);
     answer.run = std::chrono::duration_cast<std::chrono::microseconds>(m_clock.now() - run->startedAt);
     answer.slownessPercent = slowness;
+    m_metrics.observeLatency("serving", answer.run);
     if (answer.kind == Answer::Kind::Served)
         ++m_counters.served;
     else if (answer.kind == Answer::Kind::Unknown)
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -6,6 +6,7 @@
 #include "snipeweir/relay/RelaySettings.h"
 #include "snipeweir/relay/WireNames.h"
 #include "snipeweir/telemetry/JsonLog.h"
+#include "snipeweir/telemetry/Metrics.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <unordered_map>
@@ -37,7 +38,8 @@
     };
 
     ServerPath(const asio::any_io_executor&, const Clock&, Settings, const RelaySettings&, const WireNames&,
-        const FleetView&, JsonLog&);
+        const FleetView&,
+        JsonLog&, Metrics&);
 
     /// Runs the request at most once.
     asio::awaitable<Answer> run(const RelayRequest&, Cancellation&);
@@ -91,6 +93,7 @@
     const WireNames& m_names;
     const FleetView& m_view;
     JsonLog& m_log;
+    Metrics& m_metrics;
 
     ServerGate m_gate;
     ConnectionPool m_pool;
--- a/tests/snipeweirctl/SnipeweirctlTests.cpp
+++ b/tests/snipeweirctl/SnipeweirctlTests.cpp
@@ -163,3 +163,17 @@
         CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2));
     }
 }
+
+TEST_CASE("trace prints a request's steps, and says which file cannot be read")
+{
+    const TemporaryFile log(
+        "{\"at_ms\":15,\"node\":\"n1\",\"event\":\"answered\",\"id\":\"ab\",\"outcome\":\"not_run\",\"reason\":\"queue_full\"}\n");
+    const RunResult found = run("trace ab " + log.path());
+    CHECK(found.code == 0);
+    CHECK(found.has("reason=queue_full"));
+    const RunResult missing = run("trace ab /nonexistent.log " + log.path() + " --json");
+    CHECK(missing.code == 2);
+    CHECK(missing.has("/nonexistent.log: cannot be read"));
+    CHECK(missing.has("\"foreign_lines\""));
+    CHECK(run("trace ab").code == 64);
+}
