--- a/snipeweir/placing/Placement.cpp
+++ b/snipeweir/placing/Placement.cpp
@@ -28,7 +28,7 @@
     // Backend servers slow down as they fill up, so an emptier one is preferred among equals.
     const double share = std::min(1.0, load.running / limit);
     const double crowding = 1 + 0.25 * share * share;
-    return candidate.roundTrip + std::chrono::microseconds(static_cast<int64_t>(wait + run * crowding));
+    return candidate.roundTrip * m_settings.hopRoundTrips + std::chrono::microseconds(static_cast<int64_t>(wait + run * crowding));
 }
 
 double Placement::cost(const RequestProfile& profile, const PlacementCandidate& candidate) const
--- a/snipeweir/placing/Placement.h
+++ b/snipeweir/placing/Placement.h
@@ -41,6 +41,8 @@
         uint32_t usualSlownessPercent = 150;
         /// Weight of a failure against a late answer.
         double failureCost = 2;
+        /// Round trips' worth of time that a node takes to pass a request on and its answer back.
+        int hopRoundTrips = 4;
         /// Work of a cold backend server, in multiples of the usual.
         double coldFactor = 2;
     };
--- a/snipeweir/relay/PeerLoads.cpp
+++ b/snipeweir/relay/PeerLoads.cpp
@@ -77,12 +77,13 @@
     known.load = message.load;
     known.loadAt = now;
     known.unanswered = 0;
+    // A reply that comes too late for its choice still says how slow the node is.
+    const auto sample = std::chrono::duration_cast<std::chrono::microseconds>(now - known.askedAt);
+    known.roundTrip = (known.roundTrip * 3 + sample) / 4;
     const auto found = m_questions.find(message.nonce);
     if (found == m_questions.end())
         return;
     Question& question = *found->second;
-    const auto sample = std::chrono::duration_cast<std::chrono::microseconds>(now - question.sentAt);
-    known.roundTrip = (known.roundTrip * 7 + sample) / 8;
     ++question.replies;
     std::erase(question.open, ip);
     const bool isUsualWaitOver = now >= question.sentAt + m_settings.usualWait;
@@ -120,8 +121,12 @@
             break;
     }
     m_questions.erase(nonce);
-    for (const std::string& ip : question->open)
-        ++m_peers[ip].unanswered;
+    const auto waited = std::chrono::duration_cast<std::chrono::microseconds>(m_clock.now() - now);
+    for (const std::string& ip : question->open) {
+        Peer& silent = m_peers[ip];
+        ++silent.unanswered;
+        silent.roundTrip = std::max(silent.roundTrip, waited);
+    }
 }
 
 bool PeerLoads::isSilent(const std::string& ip) { return m_peers[ip].unanswered >= m_settings.silentAfter; }
--- a/snipeweir/relay/PeerLoads.h
+++ b/snipeweir/relay/PeerLoads.h
@@ -33,6 +33,7 @@
     struct Peer {
         NodeLoad load;
         SteadyTime loadAt {};
+        /// Time from question to reply of late; long where the node or its link is slow, whatever its server does.
         std::chrono::microseconds roundTrip { 1000 };
         /// Questions without a reply since the last reply.
         uint32_t unanswered = 0;
--- a/tests/placing/PlacementTests.cpp
+++ b/tests/placing/PlacementTests.cpp
@@ -76,3 +76,11 @@
     CHECK(placement.choose(RequestProfile(), { cold }) == 0);
     CHECK(placement.choose(RequestProfile(), { cold, candidate(5, 120) }) == 1);
 }
+
+TEST_CASE("A node that answers slowly is passed over, though its backend server is free")
+{
+    const Placement placement { Placement::Settings() };
+    PlacementCandidate slowNode = candidate(0, 100);
+    slowNode.roundTrip = 40ms;
+    CHECK(placement.choose(RequestProfile(), { slowNode, candidate(5, 150) }) == 1);
+}
