--- a/snipeweir/relay/CallerPath.h
+++ b/snipeweir/relay/CallerPath.h
@@ -17,7 +17,7 @@
 public:
     struct Settings {
         /// Nodes asked for their load before a choice, besides this one.
-        size_t askedNodes = 3;
+        size_t askedNodes = 4;
         /// Backend servers that a request may be offered to while each refuses it unsent.
         uint32_t maxOffers = 4;
         /// A repeatable request without an answer is sent once more after this share of its target latency.
