--- a/programs/snipeweir-platform/Main.cpp
+++ b/programs/snipeweir-platform/Main.cpp
@@ -62,6 +62,14 @@
         log.belief("start_failed", { { "error", error->message } });
         return exitStartFailed;
     }
+    relay->reloadSettings = [&path]() -> std::optional<snipeweir::RelaySettings> {
+        return snipeweir::handleErrors(
+            [&]() -> snipeweir::Result<std::optional<snipeweir::RelaySettings>> {
+                BOOST_LEAF_AUTO(reloaded, loadSettings(path));
+                return std::optional(reloaded.node);
+            },
+            [](const snipeweir::Error&) { return std::optional<snipeweir::RelaySettings>(); });
+    };
     relay->run();
     return 0;
 }
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -1,5 +1,6 @@
 #include "snipeweir/relay/CallerPath.h"
 
+#include "snipeweir/relay/CallerCall.h"
 #include "snipeweir/relay/HopCodec.h"
 
 #include <algorithm>
@@ -19,8 +20,6 @@
     /// Extra time for an answer that the backend server gave at its deadline to arrive.
     constexpr std::chrono::milliseconds answerSlack { 40 };
     constexpr std::chrono::milliseconds writeTimeout { 5000 };
-    /// Work assumed on a route of which no answer is known yet.
-    constexpr std::chrono::microseconds usualWork { 120'000 };
 
     template <typename Duration> std::string microsecondsText(Duration time)
     {
@@ -29,39 +28,6 @@
 
 }
 
-/// One request of a caller and what has become of its sends.
-struct CallerPath::Call {
-    explicit Call(const asio::any_io_executor& executor)
-        : wake(executor)
-    {
-    }
-
-    RelayRequest request;
-    std::shared_ptr<const RouteTable> routes;
-    const Route* route = nullptr;
-    SteadyTime startedAt;
-    /// Woken when an attempt ends or the caller leaves.
-    asio::steady_timer wake;
-    std::vector<std::shared_ptr<Attempt>> attempts;
-    /// Nodes that the request was offered to.
-    std::vector<std::string> tried;
-    /// Backend servers that it was sent to.
-    uint32_t sends = 0;
-    uint32_t offers = 0;
-    bool hasLeft = false;
-    std::optional<Answer> answer;
-};
-
-/// One send of a call to one node.
-struct CallerPath::Attempt {
-    RelayRequest request;
-    std::string ip;
-    Cancellation cancellation;
-    SteadyTime sentAt;
-    std::optional<Answer> answer;
-    bool isTaken = false;
-};
-
 CallerPath::CallerPath(const asio::any_io_executor& executor, const Clock& clock, Settings settings,
     const RelaySettings& node, const WireNames& names, const FleetView& view, PeerLoads& peers, ServerPath& server,
     JsonLog& log, Metrics& metrics, uint64_t seed)
@@ -223,91 +189,6 @@
     return decision == reason;
 }
 
-asio::awaitable<const BackendEntry*> CallerPath::choose(Call& call, RelayRequest& request, Purpose purpose)
-{
-    // Collect the backend servers that may be used, each with the node beside it.
-    struct Option {
-        const BackendEntry* entry;
-        double rank;
-    };
-    std::vector<Option> options;
-    const SteadyTime now = m_clock.now();
-    for (const BackendEntry* entry : m_view.usable(request.service)) {
-        const std::string& ip = entry->address.ip;
-        if (std::find(call.tried.begin(), call.tried.end(), ip) != call.tried.end())
-            continue;
-        const PeerLoads::Peer& peer = m_peers.peer(ip);
-        const double share = static_cast<double>(peer.load.running + peer.load.waiting) / std::max(1U, peer.load.limit);
-        const double silence = m_peers.isSilent(ip) ? 10 : 0;
-        const double distance = entry->dataCentre == m_node.dataCentre ? 0 : 0.3;
-        options.push_back({ entry, share + silence + distance + m_random.unit() });
-    }
-    if (options.empty())
-        co_return nullptr;
-
-    // Ask a few, the likeliest first; the own node's load is known.
-    std::sort(options.begin(), options.end(), [](const Option& a, const Option& b) { return a.rank < b.rank; });
-    std::vector<std::string> asked;
-    std::vector<std::string> instances;
-    for (const Option& option : options) {
-        const bool isOwn = option.entry->address.ip == m_node.peers.ip;
-        if (!isOwn && asked.size() >= m_settings.askedNodes)
-            continue;
-        if (!isOwn)
-            asked.push_back(option.entry->address.ip);
-        instances.push_back(option.entry->instance);
-    }
-    co_await m_peers.ask(asked);
-
-    // The view may have changed while the replies were on their way.
-    std::vector<PlacementCandidate> candidates;
-    std::vector<const BackendEntry*> entries;
-    const SteadyTime chosenAt = m_clock.now();
-    for (const BackendEntry* entry : m_view.usable(request.service)) {
-        if (std::find(instances.begin(), instances.end(), entry->instance) == instances.end())
-            continue;
-        const std::string& ip = entry->address.ip;
-        PlacementCandidate candidate;
-        candidate.isSameDataCentre = entry->dataCentre == m_node.dataCentre;
-        if (ip == m_node.peers.ip) {
-            candidate.load = m_server.load();
-        } else {
-            const PeerLoads::Peer& peer = m_peers.peer(ip);
-            const bool hasAnswered = peer.loadAt >= now - std::chrono::milliseconds(20);
-            if (!hasAnswered && (m_peers.isSilent(ip) || peer.loadAt == SteadyTime {}))
-                continue;
-            candidate.load = peer.load;
-            candidate.age = std::chrono::duration_cast<std::chrono::microseconds>(chosenAt - peer.loadAt);
-            candidate.roundTrip = peer.roundTrip;
-        }
-        if (candidate.load.instance != entry->instance)
-            continue;
-        candidates.push_back(candidate);
-        entries.push_back(entry);
-    }
-    RequestProfile profile;
-    const RouteStatistics::Entry& statistics = m_statistics.find(*call.route, request.service);
-    profile.work = statistics.work > 0 ? std::chrono::microseconds(static_cast<int64_t>(statistics.work)) : usualWork;
-    profile.targetLeft = std::chrono::duration_cast<std::chrono::microseconds>(request.targetAt - chosenAt);
-    profile.answerBytes = statistics.answerBytes;
-    const auto best = m_placement.choose(profile, candidates);
-    if (!best) {
-        m_log.request(JsonLog::Weight::Refusal, "no_choice", request.id,
-            { { "service", request.service.text() }, { "usable", std::to_string(options.size()) },
-                { "asked", std::to_string(asked.size()) }, { "known", std::to_string(candidates.size()) },
-                { "backends_revision", std::to_string(m_view.backendRevision().value) } });
-        co_return nullptr;
-    }
-    // A hedge that would be late as well only costs the fleet's budget and a slot.
-    if (purpose == Purpose::Hedge && m_placement.expectedLatency(profile, candidates[*best]) > profile.targetLeft)
-        co_return nullptr;
-    const BackendEntry* entry = entries[*best];
-    request.instance = entry->instance;
-    // Until the next report the node counts this request itself.
-    ++m_peers.peer(entry->address.ip).load.running;
-    co_return entry;
-}
-
 asio::awaitable<Answer> CallerPath::sendToPeer(
     const RelayRequest& request, const std::string& ip, Cancellation& cancellation)
 {
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -215,9 +215,7 @@
         if (error)
             co_return;
         if (signal == SIGHUP) {
-            m_log.belief("reload", {});
-            if (onReload)
-                onReload();
+            reload();
             continue;
         }
         m_log.belief("stop", { { "in_flight", std::to_string(m_callers.inFlight()) } });
@@ -226,6 +224,25 @@
     }
 }
 
+void Relay::reload()
+{
+    const std::optional<RelaySettings> settings = reloadSettings ? reloadSettings() : std::nullopt;
+    if (!settings) {
+        m_log.belief("reload", { { "outcome", "faulty" } });
+        return;
+    }
+    // Addresses and the service belong to this process; the platform starts another one when they change.
+    m_settings.repeatPercent = settings->repeatPercent;
+    m_settings.repeatExtra = settings->repeatExtra;
+    m_settings.coldFactor = settings->coldFactor;
+    m_settings.coldExtra = settings->coldExtra;
+    m_settings.stopGrace = settings->stopGrace;
+    const bool isSamePlace = settings->service == m_settings.service && settings->backend == m_settings.backend
+        && settings->callers == m_settings.callers && settings->peers == m_settings.peers;
+    m_log.belief("reload", { { "outcome", isSamePlace ? "taken" : "taken_without_addresses" } });
+    m_server.onViewChanged();
+}
+
 asio::awaitable<void> Relay::finish()
 {
     m_isStopping = true;
--- a/snipeweir/relay/Relay.h
+++ b/snipeweir/relay/Relay.h
@@ -22,8 +22,8 @@
     /// Serves until SIGTERM, then finishes what is in flight.
     void run();
 
-    /// Called on SIGHUP.
-    std::function<void()> onReload;
+    /// Reads the settings again on SIGHUP; gives none if they are faulty, which leaves those in force as they are.
+    std::function<std::optional<RelaySettings>()> reloadSettings;
 
     /// @return All metrics in the Prometheus text format.
     std::string metricsText() const;
@@ -42,6 +42,7 @@
     asio::awaitable<void> waitForSignals();
     asio::awaitable<void> finish();
     bool isReady() const;
+    void reload();
 
     // The context goes last of all, since sockets and coroutines use it.
     asio::io_context m_context { 1 };
--- a/snipeweir/relay/RelaySettings.h
+++ b/snipeweir/relay/RelaySettings.h
@@ -26,9 +26,8 @@
     uint16_t metricsPort = 9102;
     /// Second sends allowed for each hundred requests, over all nodes.
     uint32_t repeatPercent = 20;
-    /// Second sends allowed beyond that in repeatWindow, over all nodes.
+    /// Second sends allowed beyond that in ten seconds, over all nodes.
     uint32_t repeatExtra = 60;
-    std::chrono::milliseconds repeatWindow { 10'000 };
     /// Requests that a cold backend server may get in any one second: a multiple of what it bears, and some more.
     double coldFactor = 1.5;
     double coldExtra = 5;
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -145,7 +145,7 @@
     const ServerGate::Decision decision = co_await admit(ticket, cancellation);
     if (decision.verdict == ServerGate::Verdict::Refused) {
         ++m_counters.refused;
-        m_metrics.count("snipeweir_server_refusals_total_" + std::string(reasonName(decision.reason)));
+        m_metrics.count("snipeweir_server_refusals_total{reason=\"" + std::string(reasonName(decision.reason)) + "\"}");
         const NodeLoad now = m_gate.load();
         m_log.request(JsonLog::Weight::Refusal, "refused", request.id,
             { { "reason", std::string(reasonName(decision.reason)) }, { "running", std::to_string(now.running) },
--- a/snipeweir/relay/WireNames.h
+++ b/snipeweir/relay/WireNames.h
@@ -27,14 +27,14 @@
     /// Present where the backend server did not run the request.
     std::string notRun = "Snipeweir-Not-Run";
     /// Instance that is meant; another one refuses the request.
-    std::string expectedInstance = "Snipeweir-Expected-Instance";
+    std::string expectedInstance = "Snipeweir-Wanted-Instance";
     /// Service that runs on the machine where the request began.
-    std::string callerService = "Snipeweir-Caller-Service";
-    std::string load = "Snipeweir-Server-Load";
+    std::string callerService = "Snipeweir-Calling-Service";
+    std::string load = "Snipeweir-Reported-Load";
     /// Instance that answers a health check.
     std::string instance = "Snipeweir-Instance";
     /// Milliseconds for which the backend server stays cold.
-    std::string coldRemaining = "Snipeweir-Cold-Ms";
+    std::string coldRemaining = "Snipeweir-Cold-For";
     std::string readyPath = "/ready";
 
     /// Reads the value of the load field; empty if it is malformed.
--- a/tests/relay/test_rules.py
+++ b/tests/relay/test_rules.py
@@ -214,6 +214,16 @@
         for node in (self.fleet.nodes[0], self.fleet.nodes[3]):
             self.assertEqual(await asyncio.wait_for(node.process.wait(), 6), 0)
 
+    async def test_a_reload_with_faulty_settings_leaves_the_node_serving(self):
+        node = self.fleet.nodes[0]
+        path = os.path.join(self.folder.name, "node-0.json")
+        for text in ("not json", "{}"):
+            with open(path, "w") as file:
+                file.write(text)
+            node.signal(signal.SIGHUP)
+            await asyncio.sleep(0.3)
+            self.assertEqual((await self.fleet.send(node, "GET", "/s/x")).status, 200)
+
     async def test_a_cold_server_gets_no_more_than_it_bears(self):
         for backend in self.backends():
             backend.cold_until = time.monotonic() + 4
