--- a/tests/relay/soak.py
+++ b/tests/relay/soak.py
@@ -266,7 +266,7 @@
     with tempfile.TemporaryDirectory() as folder:
         if options.keep:
             os.makedirs(options.keep, exist_ok=True)
-        fleet = Fleet(options.program, options.keep or folder, services, f"127.{20 + options.seed % 200}")
+        fleet = Fleet(options.program, options.keep or folder, services, f"127.{20 + options.seed % 80}")
         soak = Soak(fleet, options.seed, options.seconds)
         try:
             await soak.run()
--- a/tests/relay/test_rules.py
+++ b/tests/relay/test_rules.py
@@ -16,18 +16,20 @@
 PROGRAM = sys.argv.pop(1) if len(sys.argv) > 1 else "build/bin/snipeweir-platform"
 
 
-class RuleTest(unittest.IsolatedAsyncioTestCase):
+class FleetTest(unittest.IsolatedAsyncioTestCase):
     services = ["one", "one", "one", "two"]
 
     async def asyncSetUp(self):
         self.folder = tempfile.TemporaryDirectory()
-        self.fleet = Fleet(PROGRAM, self.folder.name, self.services)
+        self.fleet = Fleet(PROGRAM, self.folder.name, self.services, f"127.{100 + os.getpid() % 100}")
         await self.fleet.start(with_config=self.id().find("before_configuration") < 0)
 
     async def asyncTearDown(self):
         await self.fleet.stop()
         self.folder.cleanup()
 
+
+class RuleTest(FleetTest):
     def backends(self, service="one"):
         return [node.backend for node in self.fleet.nodes if node.service == service]
 
@@ -285,5 +287,20 @@
         self.assertEqual(sum(before), 0)
 
 
+class LargeFleetTest(FleetTest):
+    """More nodes than fetch a document from one node, so that the others fetch it from those."""
+
+    services = ["one"] * 13 + ["two"]
+
+    async def test_a_configuration_reaches_the_nodes_of_every_level_within_two_seconds(self):
+        for prefix in ("/a/", "/b/"):
+            self.fleet.configure([self.fleet.route(prefix, "safe", "two")])
+            await asyncio.sleep(2)
+            for node in self.fleet.nodes:
+                self.assertEqual((await self.fleet.send(node, "GET", prefix + "x")).status, 200)
+        for node in self.fleet.nodes:
+            self.assertIsNone(node.process.returncode)
+
+
 if __name__ == "__main__":
     unittest.main()
