--- a/programs/snipeweirctl/CommandLine.cpp
+++ b/programs/snipeweirctl/CommandLine.cpp
@@ -86,7 +86,8 @@
                                                          : line.arguments.size() == rule->second.arguments;
         if (!isCountRight)
             return fail(ErrorCode::InvalidArgument,
-                line.command + " takes " + (rule->second.takesMore ? "at least " : "") + std::to_string(rule->second.arguments) + " arguments, found "
+                line.command + " takes " + (rule->second.takesMore ? "at least " : "")
+                    + std::to_string(rule->second.arguments) + " arguments, found "
                     + std::to_string(line.arguments.size()) + ".");
         for (const std::string& name : rule->second.required) {
             if (!options.count(name))
--- a/snipeweir/telemetry/RequestTrace.cpp
+++ b/snipeweir/telemetry/RequestTrace.cpp
@@ -59,13 +59,14 @@
 {
     std::vector<std::string> gaps;
     if (m_steps.empty()) {
-        gaps.push_back("No line names this id: it was an ordinary one that was dropped under load, its node was killed, or "
-                       "its log is not among the files.");
+        gaps.push_back(
+            "No line names this id: it was an ordinary one that was dropped under load, its node was killed, or "
+            "its log is not among the files.");
         return gaps;
     }
     const auto has = [&](std::string_view event) {
-        return std::any_of(m_steps.begin(), m_steps.end(),
-            [&](const Step& step) { return step.id == m_id && step.event == event; });
+        return std::any_of(
+            m_steps.begin(), m_steps.end(), [&](const Step& step) { return step.id == m_id && step.event == event; });
     };
     if (!has("answered"))
         gaps.push_back("No node answered it: the node that took it was killed or its log is missing.");
--- a/tests/snipeweirctl/SnipeweirctlTests.cpp
+++ b/tests/snipeweirctl/SnipeweirctlTests.cpp
@@ -166,8 +166,8 @@
 
 TEST_CASE("trace prints a request's steps, and says which file cannot be read")
 {
-    const TemporaryFile log(
-        "{\"at_ms\":15,\"node\":\"n1\",\"event\":\"answered\",\"id\":\"ab\",\"outcome\":\"not_run\",\"reason\":\"queue_full\"}\n");
+    const TemporaryFile log("{\"at_ms\":15,\"node\":\"n1\",\"event\":\"answered\",\"id\":\"ab\",\"outcome\":\"not_"
+                            "run\",\"reason\":\"queue_full\"}\n");
     const RunResult found = run("trace ab " + log.path());
     CHECK(found.code == 0);
     CHECK(found.has("reason=queue_full"));
