Wait in the rule tests until each node has heard of its server

Traced: with the first health answer delayed by 0.8 s, 50 of 80 requests are refused with cold_limit; a server of which nothing is known counts as cold, which is meant. The test's precondition is now awaited; its check is unchanged.

--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -261,6 +261,11 @@
         self.signal(signal.SIGKILL)
         await self.process.wait()
 
+    def has_heard_of_backend(self):
+        """Whether a health answer has come since the process started: until then it treats the server as cold."""
+        with open(os.path.join(self.fleet.folder, f"node-{self.index}.log"), encoding="utf-8", errors="replace") as log:
+            return '"event":"server_instance"' in log.read().rpartition('"event":"start"')[2]
+
     async def is_ready(self):
         try:
             reply = await self.fleet.send(self, "GET", "/v1/ready", port=PORTS["ready"], deadline=1000)
@@ -297,7 +302,7 @@
     async def wait_ready(self, timeout=8.0):
         end = time.monotonic() + timeout
         for node in self.nodes:
-            while not await node.is_ready():
+            while not await node.is_ready() or not node.has_heard_of_backend():
                 if time.monotonic() > end:
                     raise AssertionError(f"node {node.index} is not ready after {timeout} s")
                 await asyncio.sleep(0.05)
