--- a/snipeweir/fleet/FleetView.cpp
+++ b/snipeweir/fleet/FleetView.cpp
@@ -36,7 +36,7 @@
 
     const bool isChanged = list.entries != m_backends.entries;
     m_backends = std::move(list);
-    rebuildUsable();
+    rebuildIndexes();
     return isChanged;
 }
 
@@ -47,7 +47,7 @@
     m_operatorRevision = state.revision;
     bool isChanged = m_evacuated != state.evacuated;
     m_evacuated = state.evacuated;
-    rebuildUsable();
+    rebuildIndexes();
     if (state.configuration && (!m_routes || state.configuration->version > m_configurationVersion)) {
         m_configurationVersion = state.configuration->version;
         m_routes = std::make_shared<RouteTable>(state.configuration);
@@ -70,20 +70,20 @@
         isChanged = true;
     }
     if (isChanged)
-        rebuildUsable();
+        rebuildIndexes();
     return isChanged;
 }
 
-void FleetView::rebuildUsable()
+void FleetView::rebuildIndexes()
 {
-    std::map<Address, const BackendEntry*> newest;
+    m_newest.clear();
     for (const BackendEntry& entry : m_backends.entries) {
-        const BackendEntry*& known = newest[entry.address];
+        const BackendEntry*& known = m_newest[entry.address];
         if (!known || entry.startedAtMs >= known->startedAtMs)
             known = &entry;
     }
     m_usable.clear();
-    for (const auto& [address, entry] : newest) {
+    for (const auto& [address, entry] : m_newest) {
         if (!entry->isDraining && !isEvacuated(entry->dataCentre))
             m_usable[entry->service].push_back(entry);
     }
@@ -98,12 +98,8 @@
 
 const BackendEntry* FleetView::findByAddress(const Address& address) const
 {
-    const BackendEntry* newest = nullptr;
-    for (const BackendEntry& entry : m_backends.entries) {
-        if (entry.address == address && (!newest || entry.startedAtMs >= newest->startedAtMs))
-            newest = &entry;
-    }
-    return newest;
+    const auto found = m_newest.find(address);
+    return found == m_newest.end() ? nullptr : found->second;
 }
 
 }
--- a/snipeweir/fleet/FleetView.h
+++ b/snipeweir/fleet/FleetView.h
@@ -80,7 +80,7 @@
     const BackendEntry* findByAddress(const Address&) const;
 
 private:
-    void rebuildUsable();
+    void rebuildIndexes();
 
     const Clock& m_clock;
     BackendList m_backends;
@@ -90,6 +90,9 @@
     Revision m_configurationVersion;
     std::shared_ptr<const RouteTable> m_routes;
     std::set<DataCentreName> m_evacuated;
+
+    // Indexes over m_backends, rebuilt with each change.
+    std::map<Address, const BackendEntry*> m_newest;
     std::map<ServiceName, std::vector<const BackendEntry*>> m_usable;
 };
 
--- a/snipeweir/relay/CallerCall.h
+++ b/snipeweir/relay/CallerCall.h
@@ -32,7 +32,6 @@
     RelayRequest request;
     std::string ip;
     Cancellation cancellation;
-    SteadyTime sentAt;
     std::optional<Answer> answer;
     bool isTaken = false;
 };
--- a/snipeweir/relay/CallerConnection.cpp
+++ b/snipeweir/relay/CallerConnection.cpp
@@ -35,12 +35,6 @@
     tuneSocket(m_stream.socket(), callerSilence);
 }
 
-std::string CallerConnection::peerIp() const
-{
-    error_code ignored; // A peer that has left has no address; the text is for the log only.
-    return beast::get_lowest_layer(m_stream).socket().remote_endpoint(ignored).address().to_string();
-}
-
 asio::awaitable<CallerConnection::ReadEnd> CallerConnection::read(CallerLimits limits)
 {
     m_request.reset();
@@ -87,7 +81,6 @@
             char byte = 0;
             if (::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
                 return; // The next request has arrived early.
-            m_hasLeft = true;
             (*hook)();
         });
 }
--- a/snipeweir/relay/CallerConnection.h
+++ b/snipeweir/relay/CallerConnection.h
@@ -34,7 +34,6 @@
     /// @param onLeft Called once if the peer closes the connection before stopWatching().
     void watchForLeave(std::function<void()> onLeft);
     void stopWatching();
-    bool hasLeft() const { return m_hasLeft; }
 
     /// @param head Status line and fields without those of the connection and of the body's length.
     /// @return Whether all was written.
@@ -52,9 +51,6 @@
     /// Ends the connection with its last answer delivered.
     void close();
 
-    /// @return IP address of the peer.
-    std::string peerIp() const;
-
 private:
     asio::awaitable<bool> write(const std::string& first, const std::string& second, SteadyTime deadline);
     void finishHead(std::string& head);
@@ -64,7 +60,6 @@
     std::optional<Request> m_request;
     unsigned m_rejection = 0;
     std::shared_ptr<std::function<void()>> m_onLeft;
-    bool m_hasLeft = false;
     bool m_canGoOn = true;
     bool m_mustClose = false;
 };
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -231,7 +231,6 @@
 
 asio::awaitable<void> CallerPath::attempt(std::shared_ptr<Call> call, std::shared_ptr<Attempt> attempt)
 {
-    attempt->sentAt = m_clock.now();
     if (attempt->ip == m_node.peers.ip)
         attempt->answer = co_await m_server.run(attempt->request, attempt->cancellation);
     else
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -166,16 +166,13 @@
 {
     std::set<std::pair<uint64_t, std::string>> order;
     order.emplace(hashOf(m_node.peers.ip), m_node.peers.ip);
-    std::vector<std::string> ips;
-    for (const BackendEntry& entry : m_view.backends()) {
+    for (const BackendEntry& entry : m_view.backends())
         order.emplace(hashOf(entry.address.ip), entry.address.ip);
-        ips.push_back(entry.address.ip);
-    }
     m_order.clear();
     for (const auto& [hash, ip] : order)
         m_order.push_back(ip);
     m_turn.setRank(static_cast<uint32_t>(std::find(m_order.begin(), m_order.end(), m_node.peers.ip) - m_order.begin()));
-    m_peers.keepOnly(ips);
+    m_peers.keepOnly(m_order);
 }
 
 void FleetFollower::announce()
@@ -185,12 +182,10 @@
     message.backends = m_backendsMark;
     message.operators = m_operatorsMark;
     message.age = age();
-    std::set<std::string> ips;
-    for (const BackendEntry& entry : m_view.backends())
-        ips.insert(entry.address.ip);
-    ips.erase(m_node.peers.ip);
-    for (const std::string& ip : ips)
-        m_peers.send(ip, message);
+    for (const std::string& ip : m_order) {
+        if (ip != m_node.peers.ip)
+            m_peers.send(ip, message);
+    }
 }
 
 void FleetFollower::onAnnouncement(const std::string& ip, const PeerMessage& message)
--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <charconv>
@@ -20,8 +19,6 @@
 
 }
 
-bool equalsIgnoringCase(std::string_view a, std::string_view b) { return beast::iequals(a, b); }
-
 std::optional<uint64_t> parseUnsigned(std::string_view text)
 {
     uint64_t value = 0;
--- a/snipeweir/relay/HttpExchange.h
+++ b/snipeweir/relay/HttpExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipeweir/core/IgnoreCase.h"
 #include "snipeweir/relay/Connection.h"
 #include "snipeweir/relay/RelayRequest.h"
 
@@ -88,8 +89,6 @@
 /// @return Whether a field concerns one connection only and must not be passed on.
 bool isHopByHop(std::string_view name);
 
-bool equalsIgnoringCase(std::string_view, std::string_view);
-
 /// @return The number that the whole text is; empty if it is none.
 std::optional<uint64_t> parseUnsigned(std::string_view text);
 
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -56,12 +56,8 @@
         reason = Reason::DataCentreOut;
     if (entry)
         m_gate.setSlots(entry->slots);
-    if (m_view.routes()) {
-        const auto& services = m_view.routes()->configuration().services;
-        const auto policy = services.find(m_node.service);
-        const double bears = policy == services.end() ? 0 : policy->second.coldRequestsPerSecond;
-        m_gate.setColdBound(bears > 0 ? bears * m_node.coldFactor + m_node.coldExtra : 0);
-    }
+    const double bears = policy().coldRequestsPerSecond;
+    m_gate.setColdBound(bears > 0 ? bears * m_node.coldFactor + m_node.coldExtra : 0);
     if (reason != m_gate.closedReason())
         m_log.belief("server_gate",
             { { "reason", std::string(reasonName(reason)) }, { "instance", entry ? entry->instance : std::string() },
@@ -229,11 +225,8 @@
 
     auto exchange = co_await connect(request, true);
     if (!exchange) {
-        // The server refused the connection or is gone; it may come back cold.
         run->hasFailed = true;
-        m_isServerLost = true;
-        m_instance.clear();
-        m_gate.setColdUnknown();
+        noteServerLost();
         finishRun(End::Broken);
         co_return Answer::notRun(Reason::BackendUnreachable);
     }
@@ -340,6 +333,24 @@
     co_return answer;
 }
 
+void ServerPath::noteServerLost()
+{
+    if (!m_isServerLost)
+        m_log.belief("server_lost", { { "instance", m_instance } });
+    m_isServerLost = true;
+    m_instance.clear();
+    m_gate.setColdUnknown();
+}
+
+ServicePolicy ServerPath::policy() const
+{
+    if (!m_view.routes())
+        return {};
+    const auto& services = m_view.routes()->configuration().services;
+    const auto found = services.find(m_node.service);
+    return found == services.end() ? ServicePolicy() : found->second;
+}
+
 void ServerPath::noteLoad(HttpExchange& exchange)
 {
     m_isServerLost = false;
@@ -379,22 +390,14 @@
 asio::awaitable<bool> ServerPath::checkHealth()
 {
     const SteadyTime deadline = m_clock.now() + m_settings.healthTimeout;
-    const auto& services = m_view.routes()->configuration().services;
-    const auto policy = services.find(m_node.service);
-    const std::string path = policy == services.end() ? ServicePolicy().healthPath : policy->second.healthPath;
-
     auto connection = co_await m_pool.acquire(m_node.backend, m_pool.settings().maxIdle, deadline);
     if (!connection) {
-        if (!m_isServerLost)
-            m_log.belief("server_lost", { { "instance", m_instance } });
-        m_isServerLost = true;
-        m_instance.clear();
-        m_gate.setColdUnknown();
+        noteServerLost();
         co_return false;
     }
     HttpExchange exchange(m_pool, std::move(connection));
     ++m_counters.healthChecks;
-    std::string head = "GET " + path + " HTTP/1.1\r\n";
+    std::string head = "GET " + policy().healthPath + " HTTP/1.1\r\n";
     appendField(head, "Host", m_node.backend.text());
     head.append("\r\n");
     if (co_await exchange.send(std::move(head), std::string(), deadline) != End::Complete
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -83,6 +83,10 @@
     asio::awaitable<Answer> readAnswer(const RelayRequest&, const std::shared_ptr<HttpExchange>&, Run&);
     std::string requestHead(const RelayRequest&) const;
     void noteLoad(HttpExchange&);
+    /// Takes note that the server refuses connections or is gone; it may come back cold.
+    void noteServerLost();
+    /// @return What the operators say of the service beside this node; the defaults if they say nothing.
+    ServicePolicy policy() const;
     void advanceGate();
     void scheduleGate();
     asio::awaitable<bool> checkHealth();
--- a/snipeweir/transport/HttpClient.cpp
+++ b/snipeweir/transport/HttpClient.cpp
@@ -1,10 +1,11 @@
 #include "snipeweir/transport/HttpClient.h"
 
+#include "snipeweir/core/IgnoreCase.h"
+
 #include <algorithm>
 #include <cassert>
 #include <charconv>
 #include <curl/curl.h>
-#include <strings.h>
 
 namespace snipeweir {
 
@@ -15,11 +16,6 @@
     constexpr size_t maxIdleLanesPerAddress = 32;
     constexpr std::chrono::milliseconds stepWait { 20 };
 
-    bool equalsIgnoringCase(std::string_view left, std::string_view right)
-    {
-        return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-    }
-
     void initializeLibrary()
     {
         static const CURLcode code = curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/snipeweir/transport/HttpServer.cpp
+++ b/snipeweir/transport/HttpServer.cpp
@@ -1,11 +1,12 @@
 #include "snipeweir/transport/HttpServer.h"
 
+#include "snipeweir/core/IgnoreCase.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <civetweb.h>
 #include <cstring>
-#include <strings.h>
 
 namespace snipeweir {
 
@@ -17,11 +18,6 @@
 
     std::string_view view(const char* text) { return text ? std::string_view(text) : std::string_view(); }
 
-    bool equalsIgnoringCase(std::string_view left, std::string_view right)
-    {
-        return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-    }
-
     void initializeLibrary()
     {
         static const unsigned features = mg_init_library(MG_FEATURES_DEFAULT);
