Count the time of a suspension in the relay's deadlines and ages

Cause: steady_clock stands still while a VM is suspended. A node that wakes took its view, its load reports and the deadlines of its requests for as young as before. Change: BootClock and a timer type in its time, used throughout the relay; streams get the time left.

--- a/programs/snipeweir-platform/Main.cpp
+++ b/programs/snipeweir-platform/Main.cpp
@@ -42,7 +42,7 @@
     if (onlyCheck)
         return 0;
 
-    const snipeweir::SystemClock clock;
+    const snipeweir::BootClock clock;
     snipeweir::JsonLog log(clock, snipeweir::JsonLog::Settings(), settings.node.vm.text(), STDOUT_FILENO);
     log.belief("start",
         { { "version", SNIPEWEIR_VERSION }, { "service", settings.node.service.text() },
--- a/snipeweir/core/Clock.h
+++ b/snipeweir/core/Clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace snipeweir {
 
@@ -27,6 +28,30 @@
     SystemTime wallTime() const override { return std::chrono::system_clock::now(); }
 };
 
+/// Steady time that goes on while the VM is suspended, so that deadlines pass and what is known grows old meanwhile.
+/// Has the members that timers expect of a clock.
+struct BootTime {
+    using time_point = SteadyTime;
+    using duration = time_point::duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    static constexpr bool is_steady = true;
+
+    static time_point now()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    }
+};
+
+/// Clock of the operating system that counts the time for which the VM was suspended.
+class BootClock final : public Clock {
+public:
+    SteadyTime now() const override { return BootTime::now(); }
+    SystemTime wallTime() const override { return std::chrono::system_clock::now(); }
+};
+
 /// Clock that moves only when told to. For tests, replays and performance programs with virtual time.
 class ManualClock final : public Clock {
 public:
--- a/snipeweir/relay/CallerCall.h
+++ b/snipeweir/relay/CallerCall.h
@@ -16,7 +16,7 @@
     const Route* route = nullptr;
     SteadyTime startedAt;
     /// Woken when an attempt ends or the caller leaves.
-    asio::steady_timer wake;
+    Timer wake;
     std::vector<std::shared_ptr<Attempt>> attempts;
     /// Nodes that the request was offered to.
     std::vector<std::string> tried;
--- a/snipeweir/relay/CallerConnection.cpp
+++ b/snipeweir/relay/CallerConnection.cpp
@@ -105,7 +105,7 @@
 
 asio::awaitable<bool> CallerConnection::write(const std::string& first, const std::string& second, SteadyTime deadline)
 {
-    m_stream.expires_at(deadline);
+    expireAt(m_stream, deadline);
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(first), asio::buffer(second) };
     const auto [error, count] = co_await asio::async_write(m_stream, buffers, asTuple);
     m_stream.expires_never();
--- a/snipeweir/relay/Connection.cpp
+++ b/snipeweir/relay/Connection.cpp
@@ -57,7 +57,7 @@
 
     auto connection = std::make_unique<Connection>(m_executor);
     connection->to = to;
-    connection->stream.expires_at(std::min(deadline, now + m_settings.connectTimeout));
+    expireAt(connection->stream, std::min(deadline, now + m_settings.connectTimeout));
     const auto [error] = co_await connection->stream.async_connect(tcpEndpoint(to), asTuple);
     if (error)
         co_return nullptr;
--- a/snipeweir/relay/Connection.h
+++ b/snipeweir/relay/Connection.h
@@ -2,6 +2,7 @@
 
 #include "snipeweir/core/Clock.h"
 #include "snipeweir/core/Identity.h"
+#include "snipeweir/relay/Timer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -221,7 +221,7 @@
     const std::string_view path = isBackends ? backendsPath : operatorsPath;
     std::optional<SourceDocument> document;
     const std::string parent = fetchParent(from.ip);
-    asio::steady_timer timer(m_executor);
+    Timer timer(m_executor);
     for (int tries = 0; parent != from.ip && !document && tries < parentTries; ++tries) {
         timer.expires_after(levelDelay);
         co_await timer.async_wait(asTuple);
@@ -278,7 +278,7 @@
 
 asio::awaitable<void> FleetFollower::followBackends()
 {
-    asio::steady_timer timer(m_executor);
+    Timer timer(m_executor);
     for (;;) {
         if (m_view.expireMissing()) {
             m_backendsMark.digest = digestOf(m_view);
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -83,7 +83,7 @@
     bool m_isSourceLost = false;
     bool m_isFetchingBackends = false;
     bool m_isFetchingOperators = false;
-    asio::steady_timer m_operatorTimer;
+    Timer m_operatorTimer;
 };
 
 }
--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -72,7 +72,7 @@
 asio::awaitable<HttpExchange::End> HttpExchange::send(std::string head, const std::string& body, SteadyTime deadline)
 {
     m_isHeadRequest = head.compare(0, 5, "HEAD ") == 0;
-    m_connection->stream.expires_at(deadline);
+    expireAt(m_connection->stream, deadline);
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(body) };
     const auto [error, count] = co_await asio::async_write(m_connection->stream, buffers, asTuple);
     if (error)
@@ -84,7 +84,7 @@
 {
     if (m_hasEnded)
         co_return End::Broken;
-    m_connection->stream.expires_at(deadline);
+    expireAt(m_connection->stream, deadline);
     do {
         m_parser.emplace();
         m_parser->header_limit(maxHeadBytes);
@@ -114,7 +114,7 @@
 
 asio::awaitable<error_code> HttpExchange::readSome(std::string& body, SteadyTime deadline)
 {
-    m_connection->stream.expires_at(deadline);
+    expireAt(m_connection->stream, deadline);
     const size_t before = body.size();
     body.resize(before + readChunkBytes);
     auto& sink = m_parser->get().body();
--- a/snipeweir/relay/PeerLoads.h
+++ b/snipeweir/relay/PeerLoads.h
@@ -7,7 +7,6 @@
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <unordered_map>
 #include <vector>
@@ -71,7 +70,7 @@
             : timer(executor)
         {
         }
-        asio::steady_timer timer;
+        Timer timer;
         std::vector<std::string> open;
         size_t replies = 0;
         SteadyTime sentAt;
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -131,7 +131,7 @@
         if (error) {
             // Too many open files, most likely: let connections end before the next attempt.
             m_log.belief("accept_failed", { { "error", error.message() } });
-            asio::steady_timer pause(m_context, std::chrono::milliseconds(20));
+            Timer pause(m_context, std::chrono::milliseconds(20));
             co_await pause.async_wait(asTuple);
             continue;
         }
@@ -250,7 +250,7 @@
     m_callers.startDraining();
     const SteadyTime start = m_clock.now();
     const SteadyTime last = start + m_settings.stopGrace - exitTime;
-    asio::steady_timer timer(m_context);
+    Timer timer(m_context);
     while (m_clock.now() < last) {
         timer.expires_after(finishStep);
         co_await timer.async_wait(asTuple);
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -366,7 +366,7 @@
 
 asio::awaitable<void> ServerPath::watchHealth()
 {
-    asio::steady_timer timer(m_executor);
+    Timer timer(m_executor);
     bool wasHealthy = true;
     for (;;) {
         // Answers to requests bring the load as well, but only a health answer says that the server turned cold.
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -8,7 +8,6 @@
 #include "snipeweir/telemetry/JsonLog.h"
 #include "snipeweir/telemetry/Metrics.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <unordered_map>
 
 namespace snipeweir {
@@ -64,7 +63,7 @@
             : timer(executor)
         {
         }
-        asio::steady_timer timer;
+        Timer timer;
         std::optional<ServerGate::Decision> decision;
     };
 
@@ -105,7 +104,7 @@
     Counters m_counters;
     uint64_t m_nextTicket = 1;
     std::unordered_map<uint64_t, std::shared_ptr<Waiter>> m_waiters;
-    asio::steady_timer m_gateTimer;
+    Timer m_gateTimer;
     std::optional<SteadyTime> m_gateTimerAt;
 
     /// Instance by the last health answer; empty while none has come since the server was lost.
