Read less from the store: starting nodes ask seeds, changes instead of pages, announcements along trees

Each turn read all pages of the list; 64 pages were the limit, 3,200 entries. Announcements went to every node from one, 225 KB/s at 3,500. Change: the role serves control, so that settings name seeds; a node whose server is not registered subscribes to them and to the readers. What has changed is one watch that returns at once, with a whole read each 5 s. DistributionTree gives the ways of announcements (two trees beyond 64 nodes, no node sends more than 64) and documents. An announcement held up by a suspended node is dropped. The digest of an empty list is kept, which was fetched again at each announcement. Tried before: a waiting watch of the backend servers returns at each heartbeat: 2,201 calls.

--- a/snipeweir/fleet/FleetSource.h
+++ b/snipeweir/fleet/FleetSource.h
@@ -24,6 +24,10 @@
     std::function<Reading<SourceDocument>()> readBackends;
     std::function<Reading<SourceDocument>()> readOperators;
 
+    /// Gives a document of the backend servers with what has changed since; no value as well if the source does not
+    /// remember that far back.
+    std::function<Reading<SourceDocument>(SourceDocument known)> readBackendChanges;
+
     /// Waits until the operators have written something after a revision; gives false after the wait.
     std::function<Reading<bool>(Revision after, std::chrono::milliseconds wait)> watchOperators;
 
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -22,15 +22,26 @@
     /// A watch is answered by then; bounds how long a change stays unseen if the watch misses it.
     constexpr std::chrono::milliseconds operatorWait { 5000 };
     constexpr std::chrono::milliseconds operatorRetry { 300 };
+    /// Time after which the backend servers are read whole again, in case that a report of changes missed one.
+    constexpr std::chrono::milliseconds wholeReadInterval { 5000 };
     constexpr std::chrono::milliseconds fetchTimeout { 1500 };
     /// Spread of the first reads of nodes that start together.
     constexpr uint64_t startSpreadMs = 1200;
-    /// Nodes that fetch a document from the same node; the others fetch it from them, so that a large document does
-    /// not wait for one slow link.
-    constexpr size_t fanOut = 8;
-    /// Time for one level of that tree to receive a document, and how often a node asks its parent for it.
+    /// Time by which the seeds read before the other nodes, and each seed before the next.
+    constexpr std::chrono::milliseconds seedDelay { 300 };
+    constexpr std::chrono::milliseconds seedStep { 100 };
+    /// How often a node asks for announcements before it has heard one and later, and how long it gets them.
+    constexpr std::chrono::milliseconds firstSubscriptionInterval { 150 };
+    constexpr std::chrono::milliseconds subscriptionInterval { 2000 };
+    constexpr std::chrono::milliseconds subscriptionLife { 7000 };
+    constexpr size_t maxSubscribers = 4096;
+    /// Nodes of the first ranks that are asked; one of them reads the source.
+    constexpr size_t askedRanks = 2;
+    /// Time for one level of the tree to receive a document, and how often a node asks for it beyond its level.
     constexpr std::chrono::milliseconds levelDelay { 120 };
-    constexpr int parentTries = 3;
+    constexpr uint32_t sourceTries = 2;
+    /// Rank of a node that lets all others read first.
+    constexpr ptrdiff_t lastRank = 1000;
     constexpr int compressionLevel = 3;
     constexpr uint64_t maxDocumentBytes = 64U << 20U;
 
@@ -72,7 +83,7 @@
 }
 
 FleetFollower::FleetFollower(const asio::any_io_executor& executor, const Clock& clock, const RelaySettings& node,
-    FleetSource source, FleetView& view, PeerLoads& peers, JsonLog& log)
+    FleetSource source, FleetView& view, PeerLoads& peers, JsonLog& log, uint64_t run)
     : m_executor(executor)
     , m_clock(clock)
     , m_node(node)
@@ -82,9 +93,18 @@
     , m_log(log)
     , m_pool(executor, clock, ConnectionPool::Settings())
     , m_turn(ReadTurn::Settings())
+    , m_tree(DistributionTree::Settings())
+    , m_run(run)
     , m_operatorTimer(executor)
 {
-    m_turn.start(clock.now(), std::chrono::milliseconds(hashOf(node.peers.ip) % startSpreadMs));
+    updateRank();
+    std::chrono::milliseconds extra(hashOf(node.peers.ip) % startSpreadMs);
+    const auto seed = std::find(node.seeds.begin(), node.seeds.end(), node.peers.ip);
+    if (seed != node.seeds.end())
+        extra = seedStep * (seed - node.seeds.begin());
+    else if (!node.seeds.empty())
+        extra += seedDelay;
+    m_turn.start(clock.now(), extra);
 }
 
 std::chrono::milliseconds FleetFollower::age() const
@@ -121,15 +141,19 @@
 {
     if (document.revision < m_backends.revision)
         return;
+    if (document.text == m_backends.text && m_backends.revision.value != 0) {
+        m_backends.revision = document.revision;
+        m_backendsMark.revision = document.revision.value;
+        return;
+    }
     BackendList list = m_source.decodeBackends(document);
     list.revision = document.revision;
     const bool isChanged = m_view.takeBackends(std::move(list), isAfterOutage());
     m_backends = std::move(document);
     m_packedBackends.clear();
-    m_backendsMark.revision = m_backends.revision.value;
+    m_backendsMark = { m_backends.revision.value, digestOf(m_view) };
     if (!isChanged)
         return;
-    m_backendsMark.digest = digestOf(m_view);
     m_log.belief("backends_changed",
         { { "revision", std::to_string(m_backends.revision.value) },
             { "entries", std::to_string(m_view.backends().size()) } });
@@ -168,65 +192,145 @@
     order.emplace(hashOf(m_node.peers.ip), m_node.peers.ip);
     for (const BackendEntry& entry : m_view.backends())
         order.emplace(hashOf(entry.address.ip), entry.address.ip);
-    m_order.clear();
+    std::vector<std::string> ips;
     for (const auto& [hash, ip] : order)
-        m_order.push_back(ip);
-    m_turn.setRank(static_cast<uint32_t>(std::find(m_order.begin(), m_order.end(), m_node.peers.ip) - m_order.begin()));
-    m_peers.keepOnly(m_order);
+        ips.push_back(ip);
+    auto rank = std::find(ips.begin(), ips.end(), m_node.peers.ip) - ips.begin();
+    // A node that is not registered leaves reading to the seeds and to those that are.
+    if (!isRegistered() && !m_node.seeds.empty())
+        rank = std::find(m_node.seeds.begin(), m_node.seeds.end(), m_node.peers.ip) == m_node.seeds.end()
+            ? lastRank
+            : std::find(m_node.seeds.begin(), m_node.seeds.end(), m_node.peers.ip) - m_node.seeds.begin();
+    m_turn.setRank(static_cast<uint32_t>(rank));
+    m_peers.keepOnly(ips);
+    std::erase_if(
+        m_heard, [&](const auto& entry) { return std::find(ips.begin(), ips.end(), entry.first) == ips.end(); });
+    m_tree.setOrder(std::move(ips));
 }
 
-void FleetFollower::announce()
+bool FleetFollower::isRegistered() const
+{
+    const auto& entries = m_view.backends();
+    return std::any_of(entries.begin(), entries.end(),
+        [this](const BackendEntry& entry) { return entry.address.ip == m_node.peers.ip; });
+}
+
+PeerMessage FleetFollower::makeAnnouncement()
 {
     PeerMessage message;
     message.kind = PeerMessage::Kind::Announcement;
     message.backends = m_backendsMark;
     message.operators = m_operatorsMark;
     message.age = age();
-    for (const std::string& ip : m_order) {
-        if (ip != m_node.peers.ip)
+    message.announcer = m_node.peers.ip;
+    message.run = m_run;
+    message.sequence = ++m_sequence;
+    return message;
+}
+
+void FleetFollower::announce()
+{
+    PeerMessage message = makeAnnouncement();
+    // Nodes that nobody knows of get it from here.
+    std::erase_if(m_subscribers, [now = m_clock.now()](const auto& entry) { return entry.second <= now; });
+    const auto& order = m_tree.order();
+    for (const auto& [ip, until] : m_subscribers) {
+        if (std::find(order.begin(), order.end(), ip) == order.end())
             m_peers.send(ip, message);
     }
+    message.hopsLeft = m_tree.maxHops();
+    for (message.tree = 0; message.tree < DistributionTree::treeCount; ++message.tree)
+        passOn(message);
+}
+
+asio::awaitable<void> FleetFollower::subscribe()
+{
+    Timer timer(m_executor);
+    for (;;) {
+        if (!isRegistered()) {
+            std::set<std::string> asked(m_node.seeds.begin(), m_node.seeds.end());
+            const auto& order = m_tree.order();
+            asked.insert(
+                order.begin(), order.begin() + static_cast<ptrdiff_t>(std::min(order.size(), askedRanks)));
+            asked.insert(m_lastAnnouncer);
+            asked.erase(m_node.peers.ip);
+            asked.erase(std::string());
+            PeerMessage message;
+            message.kind = PeerMessage::Kind::Subscription;
+            for (const std::string& ip : asked)
+                m_peers.send(ip, message);
+        }
+        timer.expires_after(m_lastAnnouncer.empty() ? firstSubscriptionInterval : subscriptionInterval);
+        co_await timer.async_wait(asTuple);
+    }
 }
 
-void FleetFollower::onAnnouncement(const std::string& ip, const PeerMessage& message)
+void FleetFollower::onSubscription(const std::string& ip)
 {
+    if (m_subscribers.size() >= maxSubscribers && !m_subscribers.contains(ip))
+        return;
+    m_subscribers[ip] = m_clock.now() + subscriptionLife;
+    if (m_operatorsMark.revision != 0)
+        m_peers.send(ip, makeAnnouncement());
+}
+
+void FleetFollower::passOn(PeerMessage message)
+{
+    if (message.hopsLeft == 0)
+        return;
+    --message.hopsLeft;
+    for (const std::string& ip : m_tree.children(message.announcer, m_node.peers.ip, message.tree))
+        m_peers.send(ip, message);
+}
+
+bool FleetFollower::isLatest(const PeerMessage& message)
+{
+    Heard& heard = m_heard[message.announcer];
+    if (heard.run == message.run && message.sequence <= heard.sequence)
+        return false;
+    heard = { message.run, message.sequence };
+    return true;
+}
+
+void FleetFollower::onAnnouncement(const PeerMessage& message)
+{
+    if (message.announcer == m_node.peers.ip || message.tree >= DistributionTree::treeCount)
+        return;
+    passOn(message);
+    if (!isLatest(message))
+        return;
+    m_lastAnnouncer = message.announcer;
     const bool needsBackends
         = message.backends.revision > m_backendsMark.revision && message.backends.digest != m_backendsMark.digest;
     const bool needsOperators
         = message.operators.revision > m_operatorsMark.revision && message.operators.digest != m_operatorsMark.digest;
     if (!needsBackends && message.backends.revision >= m_backendsMark.revision)
         onFresh(m_clock.now() - message.age);
+    const Address announcer { message.announcer, m_node.peers.port };
     if (needsBackends && !m_isFetchingBackends) {
         m_isFetchingBackends = true;
-        asio::co_spawn(m_executor, fetch({ ip, m_node.peers.port }, message.backends, true), asio::detached);
+        asio::co_spawn(m_executor, fetch(announcer, message.backends, true), asio::detached);
     }
     if (needsOperators && !m_isFetchingOperators) {
         m_isFetchingOperators = true;
-        asio::co_spawn(m_executor, fetch({ ip, m_node.peers.port }, message.operators, false), asio::detached);
+        asio::co_spawn(m_executor, fetch(announcer, message.operators, false), asio::detached);
     }
 }
 
-std::string FleetFollower::fetchParent(const std::string& announcer) const
-{
-    std::vector<std::string> order = m_order;
-    std::erase(order, announcer);
-    const auto own = static_cast<size_t>(std::find(order.begin(), order.end(), m_node.peers.ip) - order.begin());
-    return own < fanOut || own >= order.size() ? announcer : order[own / fanOut - 1];
-}
-
 asio::awaitable<void> FleetFollower::fetch(Address from, DocumentMark mark, bool isBackends)
 {
     const SteadyTime asOf = m_clock.now();
     ++m_counters.fetches;
     const std::string_view path = isBackends ? backendsPath : operatorsPath;
     std::optional<SourceDocument> document;
-    const std::string parent = fetchParent(from.ip);
+    const DistributionTree::Source source = m_tree.documentSource(from.ip, m_node.peers.ip);
+    const uint32_t tries = source.level == 0 ? 0 : source.level + sourceTries;
     Timer timer(m_executor);
-    for (int tries = 0; parent != from.ip && !document && tries < parentTries; ++tries) {
+    for (uint32_t count = 0; !document && count < tries; ++count) {
         timer.expires_after(levelDelay);
         co_await timer.async_wait(asTuple);
-        const Address parentAddress { parent, from.port };
-        document = co_await fetchDocument(parentAddress, path);
+        const Address sourceAddress { source.ip, from.port };
+        document = co_await fetchDocument(sourceAddress, path);
         if (document && document->revision.value < mark.revision)
             document.reset();
     }
@@ -291,29 +395,45 @@
             co_await timer.async_wait(asTuple);
             continue;
         }
-        const SteadyTime asOf = m_clock.now();
+        co_await readBackends();
+    }
+}
+
+asio::awaitable<void> FleetFollower::readBackends()
+{
+    const SteadyTime asOf = m_clock.now();
+    // What has changed is one call, the whole list one for each page.
+    std::optional<SourceDocument> document;
+    const bool wasWholeReadLately = asOf - m_wholeReadAt < wholeReadInterval;
+    if (wasWholeReadLately) {
         ++m_counters.sourceReads;
-        auto document = co_await m_source.readBackends();
-        if (!document) {
-            ++m_counters.sourceFailures;
-            m_turn.onReadFailed(m_clock.now());
-            if (!m_isSourceLost)
-                m_log.belief("source_lost", { { "age_ms", std::to_string(age().count()) } });
-            m_isSourceLost = true;
-            continue;
-        }
-        if (m_isSourceLost)
-            m_log.belief("source_regained", { { "age_ms", std::to_string(age().count()) } });
-        m_isSourceLost = false;
-        const bool wasReader = isReader();
-        m_readAt = m_clock.now();
-        m_turn.onReadSucceeded();
-        onFresh(asOf);
-        takeBackends(std::move(*document));
-        if (!wasReader)
-            m_operatorTimer.cancel();
-        announce();
+        const SourceDocument known = m_backends;
+        document = co_await m_source.readBackendChanges(known);
+    }
+    if (!document) {
+        ++m_counters.sourceReads;
+        document = co_await m_source.readBackends();
+        m_wholeReadAt = document ? asOf : SteadyTime {};
+    }
+    if (!document) {
+        ++m_counters.sourceFailures;
+        m_turn.onReadFailed(m_clock.now());
+        if (!m_isSourceLost)
+            m_log.belief("source_lost", { { "age_ms", std::to_string(age().count()) } });
+        m_isSourceLost = true;
+        co_return;
     }
+    if (m_isSourceLost)
+        m_log.belief("source_regained", { { "age_ms", std::to_string(age().count()) } });
+    m_isSourceLost = false;
+    const bool wasReader = isReader();
+    m_readAt = m_clock.now();
+    m_turn.onReadSucceeded();
+    onFresh(asOf);
+    takeBackends(std::move(*document));
+    if (!wasReader)
+        m_operatorTimer.cancel();
+    announce();
 }
 
 asio::awaitable<void> FleetFollower::followOperators()
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipeweir/fleet/DistributionTree.h"
 #include "snipeweir/fleet/FleetSource.h"
 #include "snipeweir/fleet/ReadTurn.h"
 #include "snipeweir/relay/HttpExchange.h"
@@ -10,8 +11,8 @@
 namespace snipeweir {
 
 /// Keeps the fleet view current. The node whose turn it is reads the source and announces the state of its documents
-/// to all nodes; a node that lacks a document fetches it from the announcer. A node that the source turns away is
-/// served by the others in this way, and one that hears no announcement reads by itself. For one thread.
+/// to all nodes; a node that lacks a document fetches it along a tree from the announcer. A node that the source turns
+/// away is served by the others in this way, and one that hears no announcement reads by itself. For one thread.
 class FleetFollower {
 public:
     struct Counters {
@@ -20,13 +21,19 @@
         uint64_t fetches = 0;
     };
 
+    /// @param run Random number of this process.
     FleetFollower(const asio::any_io_executor&, const Clock&, const RelaySettings&, FleetSource, FleetView&, PeerLoads&,
-        JsonLog&);
+        JsonLog&, uint64_t run);
 
     asio::awaitable<void> followBackends();
     asio::awaitable<void> followOperators();
 
-    void onAnnouncement(const std::string& ip, const PeerMessage&);
+    /// Asks other nodes for announcements while the backend server beside this one is not registered: no node would
+    /// send any, and each read of the source has its price.
+    asio::awaitable<void> subscribe();
+
+    void onAnnouncement(const PeerMessage&);
+    void onSubscription(const std::string& ip);
 
     /// @param path Path of a document, as fetched by other nodes.
     /// @return The document with its text compressed; empty if there is none.
@@ -45,16 +52,22 @@
     static constexpr std::string_view revisionField = "Snipeweir-Revision";
 
 private:
+    asio::awaitable<void> readBackends();
     void takeBackends(SourceDocument);
     void takeOperators(SourceDocument);
     /// Notes that the view was current at a time.
     void onFresh(SteadyTime asOf);
     void updateRank();
+    /// @return Whether the backend server beside this node is registered, so that all nodes know of this one.
+    bool isRegistered() const;
+    PeerMessage makeAnnouncement();
     void announce();
+    /// Sends an announcement to the nodes that get it from this one.
+    void passOn(PeerMessage);
+    /// @return Whether the announcement is later than all others of its announcer.
+    bool isLatest(const PeerMessage&);
     bool isReader() const;
     bool isAfterOutage() const;
-    /// @return IP address of the node to fetch a document from.
-    std::string fetchParent(const std::string& announcer) const;
     asio::awaitable<void> fetch(Address from, DocumentMark, bool isBackends);
     asio::awaitable<std::optional<SourceDocument>> fetchDocument(const Address& from, std::string_view path);
 
@@ -76,11 +89,24 @@
     std::string m_packedOperators;
     DocumentMark m_backendsMark;
     DocumentMark m_operatorsMark;
-    /// IP addresses of all nodes in the order of their ranks.
-    std::vector<std::string> m_order;
+    /// The nodes in the order of their ranks.
+    DistributionTree m_tree;
+
+    // Announcements: those of this node, and the last of each other one.
+    struct Heard {
+        uint64_t run = 0;
+        uint64_t sequence = 0;
+    };
+    uint64_t m_run;
+    uint64_t m_sequence = 0;
+    std::map<std::string, Heard> m_heard;
+    std::string m_lastAnnouncer;
+    /// Nodes that asked for announcements, with the time until which they get them.
+    std::map<std::string, SteadyTime> m_subscribers;
     SteadyTime m_readAt {};
     SteadyTime m_outageAt {};
     bool m_isSourceLost = false;
+    SteadyTime m_wholeReadAt {};
     bool m_isFetchingBackends = false;
     bool m_isFetchingOperators = false;
     Timer m_operatorTimer;
--- a/snipeweir/relay/PeerMessage.cpp
+++ b/snipeweir/relay/PeerMessage.cpp
@@ -59,6 +59,10 @@
         writer.writeUnsigned(backends.revision).writeUnsigned(backends.digest);
         writer.writeUnsigned(operators.revision).writeUnsigned(operators.digest);
         writer.writeUnsigned(static_cast<uint64_t>(age.count()));
+        writer.writeText(announcer).writeUnsigned(run).writeUnsigned(sequence);
+        writer.writeUnsigned(tree).writeUnsigned(hopsLeft);
+        break;
+    case Kind::Subscription:
         break;
     }
     return writer.take();
@@ -83,6 +87,14 @@
         message.backends = readMark(reader);
         message.operators = readMark(reader);
         message.age = std::chrono::milliseconds(reader.readUnsigned().value_or(0));
+        message.announcer = std::string(reader.readText().value_or(""));
+        message.run = reader.readUnsigned().value_or(0);
+        message.sequence = reader.readUnsigned().value_or(0);
+        message.tree = static_cast<uint32_t>(reader.readUnsigned().value_or(0));
+        message.hopsLeft = static_cast<uint32_t>(reader.readUnsigned().value_or(0));
+        break;
+    case static_cast<uint64_t>(Kind::Subscription):
+        message.kind = Kind::Subscription;
         break;
     default:
         return std::nullopt;
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -87,15 +87,16 @@
     , m_view(clock)
     , m_peers(m_context.get_executor(), clock, PeerLoads::Settings())
     , m_follower(
-          m_context.get_executor(), clock, m_settings, makeSource(m_context.get_executor()), m_view, m_peers, log)
+          m_context.get_executor(), clock, m_settings, makeSource(m_context.get_executor()), m_view, m_peers, log,
+          randomSeed())
     , m_server(m_context.get_executor(), clock, ServerPath::Settings(), m_settings, m_names, m_view, log, m_metrics)
     , m_callers(m_context.get_executor(), clock, CallerPath::Settings(), m_settings, m_names, m_view, m_peers, m_server,
           log, m_metrics, randomSeed())
     , m_signals(m_context, SIGTERM, SIGHUP)
 {
     m_peers.ownLoad = [this] { return m_server.load(); };
-    m_peers.onAnnouncement
-        = [this](const std::string& ip, const PeerMessage& message) { m_follower.onAnnouncement(ip, message); };
+    m_peers.onAnnouncement = [this](const PeerMessage& message) { m_follower.onAnnouncement(message); };
+    m_peers.onSubscription = [this](const std::string& ip) { m_follower.onSubscription(ip); };
     m_follower.onChanged = [this] { m_server.onViewChanged(); };
 }
 
@@ -117,6 +118,7 @@
     start(m_peers.receive());
     start(m_follower.followBackends());
     start(m_follower.followOperators());
+    start(m_follower.subscribe());
     start(m_server.watchHealth());
     start(waitForSignals());
     m_context.run();
--- a/snipeweir/relay/RelaySettings.h
+++ b/snipeweir/relay/RelaySettings.h
@@ -4,6 +4,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
+#include <vector>
 
 namespace snipeweir {
 
@@ -22,6 +24,8 @@
     Address readiness;
     /// Port of the load queries between nodes, the same on all VMs.
     uint16_t queryPort = 0;
+    /// IP addresses of nodes that a starting node asks for the fleet's documents; some may be down.
+    std::vector<std::string> seeds;
     /// Port of the metrics page.
     uint16_t metricsPort = 9102;
     /// Second sends allowed for each hundred requests, over all nodes.
--- a/tests/platform/DocumentsTests.cpp
+++ b/tests/platform/DocumentsTests.cpp
@@ -53,6 +53,26 @@
         CHECK_FALSE(decodePage(bad));
 }
 
+TEST_CASE("The changes of a watch lead to the document that a whole read gives")
+{
+    const SourceDocument before = document({ { "servers/a", "{}" }, { "servers/b", "{}" } });
+    const auto changes = decodeChanges(
+        R"({"events":[{"key":"servers/b","revision":8,"isGone":true},{"key":"servers/c","value":"YQ==","revision":9}],"atRev":9})");
+    REQUIRE(changes);
+    const SourceDocument after = applyChanges(before, *changes);
+    CHECK(after.revision.value == 9);
+    CHECK(after.text == document({ { "servers/a", "{}" }, { "servers/c", "a" } }).text);
+
+    const auto none = decodeChanges(R"({"events":[],"atRev":12})");
+    REQUIRE(none);
+    CHECK(applyChanges(after, *none).text == after.text);
+    CHECK(applyChanges(after, *none).revision.value == 12);
+    // A whole read follows where an answer cannot be understood.
+    for (const char* bad : { "", "{}", R"({"events":[]})", R"({"events":[{"revision":8,"isGone":true}],"atRev":9})",
+             R"({"events":[{"key":"servers/c","revision":9}],"atRev":9})", R"({"events":[7],"atRev":9})" })
+        CHECK_FALSE(decodeChanges(bad));
+}
+
 TEST_CASE("An entry that another writer has spoilt names no backend server, and the others hold")
 {
     std::vector<StoreItem> items { { "servers/good", goodEntry } };
--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -91,6 +91,7 @@
         self.items = {}
         self.revision = 1
         self.changes = []
+        self.history_start = 0
         self.mode = "ok"
         self.calls = 0
 
@@ -100,12 +101,17 @@
     def put(self, key, value):
         self.revision += 1
         self.items[key] = (value, self.revision)
-        self.changes.append((key, self.revision))
+        self.changes.append((key, self.revision, value))
 
     def remove(self, key):
         if self.items.pop(key, None):
             self.revision += 1
-            self.changes.append((key, self.revision))
+            self.changes.append((key, self.revision, None))
+
+    def forget_history(self):
+        """Watches from an earlier revision are answered with 410 from now on."""
+        self.changes.clear()
+        self.history_start = self.revision
 
     async def serve(self, reader, writer):
         try:
@@ -133,8 +139,11 @@
             return 200, {"items": items, "hasMore": len(keys) > 5, "atRev": self.revision}
         end = time.monotonic() + int(arguments["waitMs"]) / 1000
         while time.monotonic() < end:
-            events = [{"key": k, "revision": r} for k, r in self.changes
-                      if r > int(arguments["after"]) and k.startswith(prefix)]
+            if int(arguments["after"]) < self.history_start:
+                return 410, {}
+            events = [{"key": k, "revision": r} | (
+                {"isGone": True} if v is None else {"value": base64.b64encode(v).decode()})
+                for k, r, v in self.changes if r > int(arguments["after"]) and k.startswith(prefix)]
             if events:
                 return 200, {"events": events, "atRev": self.revision}
             await asyncio.sleep(0.02)
@@ -237,12 +246,14 @@
         self.backend_proxy = Proxy((self.ip, PORTS["backend"]), (self.ip, PORTS["backend"] + 100))
         self.store_proxy = Proxy((fleet.store.ip, 7400 + index), (fleet.store.ip, 7309))
         self.process = None
+        self.seeds = []  # Nodes
 
     def settings(self):
         return {"vm": f"node-{self.index}", "data_centre": self.zone, "service": self.service,
                 "backend_address": f"{self.ip}:{PORTS['backend']}", "callers_address": f"{self.ip}:{PORTS['callers']}",
                 "peers_address": f"{self.ip}:{PORTS['peers']}", "readiness_address": f"{self.ip}:{PORTS['ready']}",
-                "query_port": PORTS["query"], "store_address": f"{self.fleet.store.ip}:{7400 + self.index}", "bounds": BOUNDS}
+                "query_port": PORTS["query"], "store_address": f"{self.fleet.store.ip}:{7400 + self.index}",
+                "seeds": [f"{seed.ip}:7399" for seed in self.seeds], "bounds": BOUNDS}
 
     async def start_process(self):
         path = os.path.join(self.fleet.folder, f"node-{self.index}.json")
--- a/tests/relay/test_rules.py
+++ b/tests/relay/test_rules.py
@@ -179,6 +179,34 @@
         await self.burst(40)
         self.assertFalse([a for a in leaving.backend.arrivals if a[0] > end])
 
+    async def test_a_change_is_in_force_within_two_seconds_of_the_history_being_dropped(self):
+        leaving = self.fleet.nodes[0]
+        self.fleet.register(leaving, "draining")
+        self.fleet.store.forget_history()
+        await asyncio.sleep(2)
+        end = time.monotonic()
+        await self.burst(40)
+        self.assertFalse([a for a in leaving.backend.arrivals if a[0] > end])
+
+    async def test_a_change_is_in_force_within_two_seconds_though_connections_to_the_store_went_silent(self):
+        for node in self.fleet.nodes:
+            node.store_proxy.set_mode("silent")
+        await asyncio.sleep(1.2)
+        for node in self.fleet.nodes:
+            node.store_proxy.set_mode("pass")
+        leaving = self.fleet.nodes[0]
+        self.fleet.register(leaving, "draining")
+        await asyncio.sleep(2)
+        end = time.monotonic()
+        await self.burst(40)
+        self.assertFalse([a for a in leaving.backend.arrivals if a[0] > end])
+
+    async def test_a_calm_fleet_asks_the_store_less_than_twice_a_second(self):
+        await asyncio.sleep(1)
+        before = self.fleet.store.calls
+        await asyncio.sleep(5)
+        self.assertLessEqual(self.fleet.store.calls - before, 10)
+
     async def test_an_evacuated_data_centre_gets_no_requests_and_comes_back(self):
         self.fleet.store.put("op/evacuate/a", b"{}")
         await asyncio.sleep(2)
@@ -251,6 +279,23 @@
         await self.fleet.wait_ready(6)
         self.assertEqual((await self.fleet.send(node, "GET", "/s/x")).status, 200)
 
+    async def test_a_starting_node_gets_the_documents_from_a_seed_before_its_server_is_registered(self):
+        node = self.fleet.nodes[2]
+        await node.kill()
+        self.fleet.store.remove(f"servers/{node.backend.instance}")
+        node.store_proxy.set_mode("reset")
+        node.seeds = [self.fleet.nodes[0], node]
+        await asyncio.sleep(1.5)  # Until no other node knows of it.
+        await node.start_process()
+        end = time.monotonic() + 1.5
+        while time.monotonic() < end and not await node.is_ready():
+            await asyncio.sleep(0.05)
+        self.assertEqual((await self.fleet.send(node, "GET", "/s/x")).status, 200)
+        # It hears of changes as well.
+        self.fleet.configure([self.fleet.route("/n/", "safe", "two")])
+        await asyncio.sleep(2)
+        self.assertEqual((await self.fleet.send(node, "GET", "/n/x")).status, 200)
+
     async def test_a_restart_of_every_node_at_once_is_followed_by_service(self):
         await asyncio.gather(*(node.kill() for node in self.fleet.nodes))
         for node in self.fleet.nodes:
