Pass over a node that does not answer when fetching a document

A node whose source in the tree is cut off asked it three or four times, 920 ms each with a kept connection (TCP_USER_TIMEOUT), before it asked the announcer: up to 3.7 s, the bound is 2.5 s. Change: a node has 350 ms to begin its answer, one that does not is not asked again; then the announcer, then the node that passed the announcement on, which a partition leaves in reach; a configuration that none of them gives is read from the source.

--- a/programs/snipeweir-platform/Main.cpp
+++ b/programs/snipeweir-platform/Main.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -28,6 +29,33 @@
     return snipeweir::platform::decodeSettings(text.str());
 }
 
+/// Notices when the settings file is written again.
+class SettingsFile {
+public:
+    explicit SettingsFile(std::string path)
+        : m_path(std::move(path))
+        , m_writtenAt(writtenAt())
+    {
+    }
+
+    bool hasChanged()
+    {
+        const auto now = writtenAt();
+        return std::exchange(m_writtenAt, now) != now;
+    }
+
+private:
+    std::filesystem::file_time_type writtenAt() const
+    {
+        std::error_code error; // A file that is being replaced is looked at again a second later.
+        const auto time = std::filesystem::last_write_time(m_path, error);
+        return error ? m_writtenAt : time;
+    }
+
+    std::string m_path;
+    std::filesystem::file_time_type m_writtenAt {};
+};
+
 int run(const std::string& path, bool onlyCheck)
 {
     snipeweir::platform::ProcessSettings settings;
@@ -62,6 +90,8 @@
         log.belief("start_failed", { { "error", error->message } });
         return exitStartFailed;
     }
+    SettingsFile file(path);
+    relay->haveSettingsChanged = [&file] { return file.hasChanged(); };
     relay->reloadSettings = [&path]() -> std::optional<snipeweir::RelaySettings> {
         return snipeweir::handleErrors(
             [&]() -> snipeweir::Result<std::optional<snipeweir::RelaySettings>> {
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -24,6 +24,8 @@
     constexpr std::chrono::milliseconds operatorRetry { 300 };
     /// Time after which the backend servers are read whole again, in case that a report of changes missed one.
     constexpr std::chrono::milliseconds wholeReadInterval { 5000 };
+    /// Time for a node to begin its answer with a document, and for the whole document to arrive.
+    constexpr std::chrono::milliseconds fetchAnswerTimeout { 350 };
     constexpr std::chrono::milliseconds fetchTimeout { 1500 };
     /// Spread of the first reads of nodes that start together.
     constexpr uint64_t startSpreadMs = 1200;
@@ -292,7 +294,7 @@
     return true;
 }
 
-void FleetFollower::onAnnouncement(const PeerMessage& message)
+void FleetFollower::onAnnouncement(const std::string& ip, const PeerMessage& message)
 {
     if (message.announcer == m_node.peers.ip || message.tree >= DistributionTree::treeCount)
         return;
@@ -306,78 +308,90 @@
         = message.operators.revision > m_operatorsMark.revision && message.operators.digest != m_operatorsMark.digest;
     if (!needsBackends && message.backends.revision >= m_backendsMark.revision)
         onFresh(m_clock.now() - message.age);
-    const Address announcer { message.announcer, m_node.peers.port };
     if (needsBackends && !m_isFetchingBackends) {
         m_isFetchingBackends = true;
-        asio::co_spawn(m_executor, fetch(announcer, message.backends, true), asio::detached);
+        asio::co_spawn(m_executor, fetch(message.announcer, ip, message.backends, true), asio::detached);
     }
     if (needsOperators && !m_isFetchingOperators) {
         m_isFetchingOperators = true;
-        asio::co_spawn(m_executor, fetch(announcer, message.operators, false), asio::detached);
+        asio::co_spawn(m_executor, fetch(message.announcer, ip, message.operators, false), asio::detached);
     }
 }
 
-asio::awaitable<void> FleetFollower::fetch(Address from, DocumentMark mark, bool isBackends)
+asio::awaitable<void> FleetFollower::fetch(
+    std::string announcer, std::string passedOnBy, DocumentMark mark, bool isBackends)
 {
     const SteadyTime asOf = m_clock.now();
     ++m_counters.fetches;
     const std::string_view path = isBackends ? backendsPath : operatorsPath;
-    std::optional<SourceDocument> document;
-    const DistributionTree::Source source = m_tree.documentSource(from.ip, m_node.peers.ip);
-    const uint32_t tries = source.level == 0 ? 0 : source.level + sourceTries;
+    const DistributionTree::Source source = m_tree.documentSource(announcer, m_node.peers.ip);
+
+    // The node above in the tree gets the document itself first; one that does not answer is passed over.
+    Fetched fetched;
     Timer timer(m_executor);
-    for (uint32_t count = 0; !document && count < tries; ++count) {
+    const uint32_t tries = source.ip == announcer ? 0 : source.level + sourceTries;
+    for (uint32_t count = 0; !fetched.document && count < tries; ++count) {
         timer.expires_after(levelDelay);
         co_await timer.async_wait(asTuple);
-        const Address sourceAddress { source.ip, from.port };
-        document = co_await fetchDocument(sourceAddress, path);
-        if (document && document->revision.value < mark.revision)
-            document.reset();
+        fetched = co_await fetchDocument(source.ip, path, mark);
+        if (!fetched.isReachable)
+            break;
     }
-    if (!document)
-        document = co_await fetchDocument(from, path);
-    if (isBackends)
-        m_isFetchingBackends = false;
-    else
-        m_isFetchingOperators = false;
-    if (!document) {
-        m_log.belief(
-            "fetch_failed", { { "from", from.text() }, { "document", isBackends ? "backends" : "operators" } });
-        co_return;
+    if (!fetched.document)
+        fetched = co_await fetchDocument(announcer, path, mark);
+    // A node that a partition keeps from the announcer has still heard of the document from a node that it reaches.
+    if (!fetched.document && passedOnBy != announcer)
+        fetched = co_await fetchDocument(passedOnBy, path, mark);
+    if (!fetched.document) {
+        m_log.belief("fetch_failed", { { "from", announcer }, { "document", isBackends ? "backends" : "operators" } });
+        // Backend servers are read when the view has grown old.
+        if (!isBackends) {
+            ++m_counters.sourceReads;
+            fetched.document = co_await m_source.readOperators();
+        }
     }
+    (isBackends ? m_isFetchingBackends : m_isFetchingOperators) = false;
+    if (!fetched.document)
+        co_return;
     if (isBackends) {
         onFresh(asOf);
-        takeBackends(std::move(*document));
+        takeBackends(std::move(*fetched.document));
     } else {
-        takeOperators(std::move(*document));
+        takeOperators(std::move(*fetched.document));
     }
 }
 
-asio::awaitable<std::optional<SourceDocument>> FleetFollower::fetchDocument(const Address& from, std::string_view path)
+asio::awaitable<FleetFollower::Fetched> FleetFollower::fetchDocument(
+    std::string ip, std::string_view path, DocumentMark mark)
 {
-    const SteadyTime deadline = m_clock.now() + fetchTimeout;
-    auto connection = co_await m_pool.acquire(from, m_pool.settings().maxIdle, deadline);
+    Fetched fetched;
+    const SteadyTime start = m_clock.now();
+    const Address from { std::move(ip), m_node.peers.port };
+    auto connection = co_await m_pool.acquire(from, m_pool.settings().maxIdle, start + fetchAnswerTimeout);
     if (!connection)
-        co_return std::nullopt;
+        co_return fetched;
     HttpExchange exchange(m_pool, std::move(connection));
     std::string head("GET ");
     head.append(path).append(" HTTP/1.1\r\nHost: ").append(from.text()).append("\r\n\r\n");
-    if (co_await exchange.send(std::move(head), std::string(), deadline) != End::Complete
-        || co_await exchange.readHead(deadline) != End::Complete || exchange.status() != 200)
-        co_return std::nullopt;
+    if (co_await exchange.send(std::move(head), std::string(), start + fetchAnswerTimeout) != End::Complete
+        || co_await exchange.readHead(start + fetchAnswerTimeout) != End::Complete)
+        co_return fetched;
+    fetched.isReachable = true;
     SourceDocument document;
     document.revision.value = parseUnsigned(exchange.field(revisionField)).value_or(0);
+    const bool isWanted = exchange.status() == 200 && document.revision.value >= mark.revision;
     std::string packed;
     End end = End::More;
     while (end == End::More)
-        end = co_await exchange.readBody(packed, deadline);
-    if (end != End::Complete)
-        co_return std::nullopt;
+        end = co_await exchange.readBody(packed, start + fetchTimeout);
+    if (end != End::Complete || !isWanted)
+        co_return fetched;
     auto text = decompress(packed);
     if (!text)
-        co_return std::nullopt;
+        co_return fetched;
     document.text = std::move(*text);
-    co_return document;
+    fetched.document = std::move(document);
+    co_return fetched;
 }
 
 asio::awaitable<void> FleetFollower::followBackends()
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -32,7 +32,8 @@
     /// send any, and each read of the source has its price.
     asio::awaitable<void> subscribe();
 
-    void onAnnouncement(const PeerMessage&);
+    /// @param ip Node that passed the announcement on.
+    void onAnnouncement(const std::string& ip, const PeerMessage&);
     void onSubscription(const std::string& ip);
 
     /// @param path Path of a document, as fetched by other nodes.
@@ -68,8 +69,15 @@
     bool isLatest(const PeerMessage&);
     bool isReader() const;
     bool isAfterOutage() const;
-    asio::awaitable<void> fetch(Address from, DocumentMark, bool isBackends);
-    asio::awaitable<std::optional<SourceDocument>> fetchDocument(const Address& from, std::string_view path);
+    /// Fetches a document of at least a revision: along the tree, from the node that passed the announcement on, from
+    /// the announcer.
+    asio::awaitable<void> fetch(std::string announcer, std::string passedOnBy, DocumentMark, bool isBackends);
+    struct Fetched {
+        /// Whether the node answered at all.
+        bool isReachable = false;
+        std::optional<SourceDocument> document;
+    };
+    asio::awaitable<Fetched> fetchDocument(std::string ip, std::string_view path, DocumentMark);
 
     asio::any_io_executor m_executor;
     const Clock& m_clock;
--- a/snipeweir/relay/PeerLoads.cpp
+++ b/snipeweir/relay/PeerLoads.cpp
@@ -65,7 +65,7 @@
         takeReply(ip, *message);
         break;
     case PeerMessage::Kind::Announcement:
-        onAnnouncement(*message);
+        onAnnouncement(ip, *message);
         break;
     case PeerMessage::Kind::Subscription:
         onSubscription(ip);
--- a/snipeweir/relay/PeerLoads.h
+++ b/snipeweir/relay/PeerLoads.h
@@ -62,7 +62,7 @@
 
     /// Gives this node's load in reply to a question.
     std::function<NodeLoad()> ownLoad;
-    std::function<void(const PeerMessage&)> onAnnouncement;
+    std::function<void(const std::string& ip, const PeerMessage&)> onAnnouncement;
     std::function<void(const std::string& ip)> onSubscription;
 
 private:
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -22,6 +22,8 @@
     /// Callers that still send after this time are refused, so that no request is cut off at the end of the grace.
     constexpr std::chrono::milliseconds lastAcceptance { 3200 };
     constexpr std::chrono::milliseconds finishStep { 50 };
+    /// A change of the settings must be in force within two seconds.
+    constexpr std::chrono::milliseconds settingsInterval { 1000 };
     constexpr std::chrono::milliseconds peerWriteTimeout { 5000 };
 
     uint64_t randomSeed()
@@ -95,7 +97,8 @@
     , m_signals(m_context, SIGTERM, SIGHUP)
 {
     m_peers.ownLoad = [this] { return m_server.load(); };
-    m_peers.onAnnouncement = [this](const PeerMessage& message) { m_follower.onAnnouncement(message); };
+    m_peers.onAnnouncement
+        = [this](const std::string& ip, const PeerMessage& message) { m_follower.onAnnouncement(ip, message); };
     m_peers.onSubscription = [this](const std::string& ip) { m_follower.onSubscription(ip); };
     m_follower.onChanged = [this] { m_server.onViewChanged(); };
 }
@@ -121,6 +124,7 @@
     start(m_follower.subscribe());
     start(m_server.watchHealth());
     start(waitForSignals());
+    start(watchSettings());
     m_context.run();
 }
 
@@ -226,6 +230,17 @@
     }
 }
 
+asio::awaitable<void> Relay::watchSettings()
+{
+    Timer timer(m_context);
+    for (;;) {
+        timer.expires_after(settingsInterval);
+        co_await timer.async_wait(asTuple);
+        if (haveSettingsChanged && haveSettingsChanged())
+            reload();
+    }
+}
+
 void Relay::reload()
 {
     const std::optional<RelaySettings> settings = reloadSettings ? reloadSettings() : std::nullopt;
@@ -274,6 +289,7 @@
     };
     const CallerPath::Counters& callers = m_callers.counters();
     add("requests_total", callers.requests);
+    add("calls_total", callers.calls);
     add("served_total", callers.served);
     add("refused_total", callers.refused);
     add("failed_total", callers.failed);
--- a/snipeweir/relay/Relay.h
+++ b/snipeweir/relay/Relay.h
@@ -24,6 +24,8 @@
 
     /// Reads the settings again on SIGHUP; gives none if they are faulty, which leaves those in force as they are.
     std::function<std::optional<RelaySettings>()> reloadSettings;
+    /// Tells whether the settings have changed since they were read; they may change without a signal.
+    std::function<bool()> haveSettingsChanged;
 
     /// @return All metrics in the Prometheus text format.
     std::string metricsText() const;
@@ -40,6 +42,7 @@
     asio::awaitable<void> serveStatus(asio::ip::tcp::socket);
     asio::awaitable<void> runForPeer(CallerConnection&);
     asio::awaitable<void> waitForSignals();
+    asio::awaitable<void> watchSettings();
     asio::awaitable<void> finish();
     bool isReady() const;
     void reload();
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -35,6 +35,7 @@
     , m_log(log)
     , m_metrics(metrics)
     , m_gate(ServerGate::Settings(), clock)
+    , m_running(RunningRequests::Settings())
     , m_pool(executor, clock, ConnectionPool::Settings())
     , m_gateTimer(executor)
 {
@@ -160,6 +161,7 @@
     }
 
     const uint32_t slowness = m_gate.load().slownessPercent;
+    m_running.add(ticket.id, request.targetAt, request.deadline);
     Answer answer = co_await exchange(request, cancellation, run);
     answer.run = std::chrono::duration_cast<std::chrono::microseconds>(m_clock.now() - run->startedAt);
     answer.slownessPercent = slowness;
@@ -218,6 +220,7 @@
             result = ServerGate::RunResult::NotRun;
         else if (run->hasFailed || end != End::Complete)
             result = ServerGate::RunResult::Failed;
+        m_running.remove(run->ticket);
         m_gate.onFinished(
             run->ticket, result, std::chrono::duration_cast<std::chrono::microseconds>(m_clock.now() - run->startedAt));
         asio::post(m_executor, [this] { advanceGate(); });
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipeweir/admission/RunningRequests.h"
 #include "snipeweir/admission/ServerGate.h"
 #include "snipeweir/fleet/FleetView.h"
 #include "snipeweir/relay/HttpExchange.h"
@@ -54,6 +55,9 @@
     /// @return The load as peers see it.
     NodeLoad load() const;
 
+    /// @return The requests that run at the server, to tell its own calls from other requests.
+    const RunningRequests& running() const { return m_running; }
+
     const Counters& counters() const { return m_counters; }
     uint64_t openedConnections() const { return m_pool.opened(); }
 
@@ -100,6 +104,7 @@
     Metrics& m_metrics;
 
     ServerGate m_gate;
+    RunningRequests m_running;
     ConnectionPool m_pool;
     Counters m_counters;
     uint64_t m_nextTicket = 1;
--- a/tests/relay/test_rules.py
+++ b/tests/relay/test_rules.py
@@ -254,6 +254,16 @@
             await asyncio.sleep(0.3)
             self.assertEqual((await self.fleet.send(node, "GET", "/s/x")).status, 200)
 
+    async def test_settings_that_change_without_a_signal_are_in_force_within_two_seconds(self):
+        node = self.fleet.nodes[0]
+        path = os.path.join(self.folder.name, "node-0.json")
+        with open(path, "a") as file:
+            file.write("\n")
+        await asyncio.sleep(2)
+        with open(os.path.join(self.folder.name, "node-0.log")) as log:
+            self.assertEqual(log.read().count('"event":"reload"'), 1)
+        self.assertEqual((await self.fleet.send(node, "GET", "/s/x")).status, 200)
+
     async def test_a_cold_server_gets_no_more_than_it_bears(self):
         for backend in self.backends():
             backend.cold_until = time.monotonic() + 4
@@ -346,6 +356,21 @@
         for node in self.fleet.nodes:
             self.assertIsNone(node.process.returncode)
 
+    async def test_a_configuration_is_in_force_within_two_seconds_though_nodes_above_in_the_tree_are_silent(self):
+        # The node that most others fetch from is in one of the halves.
+        for prefix, stopped in (("/a/", self.fleet.nodes[:7]), ("/b/", self.fleet.nodes[7:13])):
+            for node in stopped:
+                node.signal(signal.SIGSTOP)
+            await asyncio.sleep(2.5)  # Until another node has taken over the reading.
+            self.fleet.configure([self.fleet.route(prefix, "safe", "two")])
+            await asyncio.sleep(2)
+            others = [node for node in self.fleet.nodes if node not in stopped]
+            replies = await asyncio.gather(*(self.fleet.send(node, "GET", f"{prefix}x") for node in others))
+            for node in stopped:
+                node.signal(signal.SIGCONT)
+            self.assertNotIn(404, [reply.status for reply in replies])
+            await asyncio.sleep(2)
+
 
 if __name__ == "__main__":
     unittest.main()
