Tell a member's data centre of records that prevail over its own

Cause: RapidCheck, traced at its shrunk case: b-4 refutes its death while it is cut off with a-8 only, then crashes. Data centre a holds it alive by the higher counter, b dead by the lower one and does not probe it. A repair sends b's record, which does not prevail, and a sent notices of deaths only; it lasted for 60 s and longer. Change: a notice goes out for each record that prevails and differs in being dead; the member's data centre takes it and probes the member again.

--- a/snipeweir/membership/Membership.cpp
+++ b/snipeweir/membership/Membership.cpp
@@ -357,6 +357,10 @@
         if (member && record.state == MemberState::Dead && member->record.state != MemberState::Dead
             && member->record.peer.incarnation == record.peer.incarnation && from != member->record.peer.control)
             m_gossip.tell(member->record.peer.control, record);
+        // A member raises its counter itself, so that it has run after its death here; it is probed again.
+        if (member && member->record.state == MemberState::Dead && record.state != MemberState::Dead
+            && record.prevailsOver(member->record))
+            accept(record, RecordOrigin::Rumour, sender.text());
     }
     // The node that brought the news of this one's death may not be among those that rumours go to.
     if (m_table.self().record.counter != counterBefore)
--- a/snipeweir/membership/Synchronizer.cpp
+++ b/snipeweir/membership/Synchronizer.cpp
@@ -271,15 +271,18 @@
     if ((*flags & flagReplyWanted) != 0)
         sendRecords(from, senderCopy, dataCentre, *mask, Reply::Unwanted, &theirs);
 
-    // Tells the member's data centre that it is held dead here, so that the member can refute it.
+    // Tells the member's data centre what prevails over its own record: that the member is held dead here, so that it
+    // can refute it, or that it has refuted its death while the link was lost, so that its neighbours probe it again.
     if (!isSenderInside || isInside)
         return;
     std::string notices;
     size_t noticesCount = 0;
     for (const auto& [vm, record] : theirs) {
         const Member* member = m_table.find(vm);
-        if (!member || member->record.state != MemberState::Dead || record.state == MemberState::Dead
-            || noticesCount >= 8)
+        if (!member || !member->record.prevailsOver(record) || noticesCount >= 8)
+            continue;
+        const bool isDeadHere = member->record.state == MemberState::Dead;
+        if (isDeadHere == (record.state == MemberState::Dead))
             continue;
         notices += member->record.encoded();
         ++noticesCount;
--- a/tests/membership/HistoryTests.cpp
+++ b/tests/membership/HistoryTests.cpp
@@ -166,6 +166,16 @@
 
 }
 
+// A member refutes its death to the other data centre while it is cut off from its own, then crashes. The other data
+// centre held it alive for ever: its record prevails over that of the members' own, which no longer probe it.
+TEST_CASE("A member that refuted its death to another data centre only and crashed is held dead by all")
+{
+    History history(525561326);
+    for (const int action : { 1, 1, 5, 1, 0, 0, 1, 0, 5, 0, 0, 0, 0 })
+        history.step(action);
+    CHECK(history.end() == "");
+}
+
 TEST_CASE("After any history of faults all nodes agree within 3 s beyond the detection time")
 {
     const bool isHolding = rc::check("all agree after the faults", [] {
