--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -10,6 +10,8 @@
 
     /// Answers of other requests that are passed over before a connection is given up.
     constexpr int maxForeignAnswers = 3;
+    /// A timer that fires this late tells of a suspension, or of a VM that stands still as long.
+    constexpr std::chrono::milliseconds leastSuspension { 1000 };
 
     std::string millisecondsLeft(SteadyTime deadline, SteadyTime now)
     {
@@ -333,6 +335,16 @@
     co_return answer;
 }
 
+void ServerPath::noteSuspension(std::chrono::nanoseconds late)
+{
+    if (late < leastSuspension)
+        return;
+    m_log.belief("suspended",
+        { { "for_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(late).count()) } });
+    // The server may have started again meanwhile; the next health answer tells.
+    m_gate.setColdUnknown();
+}
+
 void ServerPath::noteServerLost()
 {
     if (!m_isServerLost)
@@ -375,8 +387,10 @@
             interval = m_settings.quickInterval;
         else if (m_clock.now() - m_loadAt < m_settings.healthInterval / 2)
             interval = m_settings.healthInterval * 3 / 2;
-        timer.expires_after(interval);
+        const SteadyTime wakeAt = m_clock.now() + interval;
+        timer.expires_at(wakeAt);
         co_await timer.async_wait(asTuple);
+        noteSuspension(m_clock.now() - wakeAt);
         if (!m_view.routes() || m_isStopping)
             continue;
         const bool isHealthy = co_await checkHealth();
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -83,6 +83,8 @@
     asio::awaitable<Answer> readAnswer(const RelayRequest&, const std::shared_ptr<HttpExchange>&, Run&);
     std::string requestHead(const RelayRequest&) const;
     void noteLoad(HttpExchange&);
+    /// Takes note of how much too late a timer has fired.
+    void noteSuspension(std::chrono::nanoseconds late);
     /// Takes note that the server refuses connections or is gone; it may come back cold.
     void noteServerLost();
     /// @return What the operators say of the service beside this node; the defaults if they say nothing.
--- a/tests/relay/test_rules.py
+++ b/tests/relay/test_rules.py
@@ -333,13 +333,15 @@
         ids = [self.fleet.new_id() for _ in range(4)]
         await asyncio.gather(*(self.fleet.send(self.fleet.nodes[3], "POST", "/u/x", deadline=500, request_id=i)
                                for i in ids))
-        await asyncio.sleep(0.6)
+        await asyncio.sleep(1)
         before = [self.runs(i) for i in ids]
         for node in self.fleet.nodes[:3]:
             node.signal(signal.SIGCONT)
         await asyncio.sleep(1)
         self.assertEqual([self.runs(i) for i in ids], before)
         self.assertEqual(sum(before), 0)
+        with open(os.path.join(self.folder.name, "node-0.log")) as log:
+            self.assertEqual(log.read().count('"event":"suspended"'), 1)
 
 
 class LargeFleetTest(FleetTest):
