Bound the memory of request bodies

Cause: each body of up to maxBodyBytes (64 MB) was held whole, and copied for each send; three of them at once end a process that has 160 MB. Change: BodyMemory holds 96 MB at most for all bodies, from the declared length on; a request that has no room is refused with 503 before its body is read. The sends of a request share its body.

--- a/snipeweir/relay/CallerConnection.cpp
+++ b/snipeweir/relay/CallerConnection.cpp
@@ -29,8 +29,9 @@
 
 }
 
-CallerConnection::CallerConnection(asio::ip::tcp::socket socket)
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket, BodyMemory& memory)
     : m_stream(std::move(socket))
+    , m_memory(memory)
 {
     tuneSocket(m_stream.socket(), callerSilence);
 }
@@ -38,6 +39,7 @@
 asio::awaitable<CallerConnection::ReadEnd> CallerConnection::read(CallerLimits limits)
 {
     m_request.reset();
+    m_hold.reset();
     if (m_buffer.size() == 0) {
         m_stream.expires_after(limits.idleTimeout);
         const auto [error, count] = co_await m_stream.async_read_some(m_buffer.prepare(4096), asTuple);
@@ -55,9 +57,18 @@
         const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(m_stream, asio::buffer(interim), asTuple);
     }
-    while (!error && !parser.is_done()) {
+    m_hold.emplace(m_memory);
+    bool hasRoom = error || m_hold->growTo(static_cast<size_t>(parser.content_length().value_or(0)));
+    while (!error && hasRoom && !parser.is_done()) {
         m_stream.expires_after(limits.headerTimeout);
         std::tie(error, count) = co_await http::async_read_some(m_stream, m_buffer, parser, asTuple);
+        hasRoom = error || m_hold->growTo(parser.get().body().size());
+    }
+    if (!hasRoom) {
+        // The request has not run and may be sent again; its rest is not read.
+        m_rejection = 503;
+        m_mustClose = true;
+        co_return ReadEnd::Rejected;
     }
     if (error) {
         m_rejection = statusOf(error);
@@ -70,6 +81,15 @@
     co_return ReadEnd::Request;
 }
 
+std::shared_ptr<const RequestBody> CallerConnection::takeBody()
+{
+    if (!m_hold || m_request->body().empty())
+        return nullptr;
+    auto body = std::make_shared<RequestBody>(RequestBody { std::move(m_request->body()), std::move(*m_hold) });
+    m_hold.reset();
+    return body;
+}
+
 void CallerConnection::watchForLeave(std::function<void()> onLeft)
 {
     m_onLeft = std::make_shared<std::function<void()>>(std::move(onLeft));
--- a/snipeweir/relay/CallerConnection.h
+++ b/snipeweir/relay/CallerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipeweir/relay/HttpExchange.h"
+#include "snipeweir/relay/RequestBody.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -21,13 +22,17 @@
         Rejected,
     };
 
-    explicit CallerConnection(asio::ip::tcp::socket socket);
+    /// @param memory Where the bodies of the requests are held.
+    CallerConnection(asio::ip::tcp::socket socket, BodyMemory& memory);
 
     /// Waits for the next request and reads it whole.
     asio::awaitable<ReadEnd> read(CallerLimits);
 
     Request& request() { return *m_request; }
 
+    /// @return The body of the request; null if it has none or it was taken before.
+    std::shared_ptr<const RequestBody> takeBody();
+
     /// Status for a rejected request.
     unsigned rejection() const { return m_rejection; }
 
@@ -58,6 +63,8 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::optional<Request> m_request;
+    BodyMemory& m_memory;
+    std::optional<BodyMemory::Hold> m_hold;
     unsigned m_rejection = 0;
     std::shared_ptr<std::function<void()>> m_onLeft;
     bool m_canGoOn = true;
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -30,7 +30,7 @@
 
 CallerPath::CallerPath(const asio::any_io_executor& executor, const Clock& clock, Settings settings,
     const RelaySettings& node, const WireNames& names, const FleetView& view, PeerLoads& peers, ServerPath& server,
-    JsonLog& log, Metrics& metrics, uint64_t seed)
+    BodyMemory& bodyMemory, JsonLog& log, Metrics& metrics, uint64_t seed)
     : m_executor(executor)
     , m_clock(clock)
     , m_settings(settings)
@@ -39,6 +39,7 @@
     , m_view(view)
     , m_peers(peers)
     , m_server(server)
+    , m_bodyMemory(bodyMemory)
     , m_log(log)
     , m_metrics(metrics)
     , m_random(seed)
@@ -50,7 +51,7 @@
 
 asio::awaitable<void> CallerPath::serve(asio::ip::tcp::socket socket)
 {
-    CallerConnection connection(std::move(socket));
+    CallerConnection connection(std::move(socket), m_bodyMemory);
     while (connection.canGoOn()) {
         const auto routes = m_view.routes();
         const CallerLimits limits = routes ? routes->configuration().limits : CallerLimits();
@@ -59,7 +60,9 @@
             break;
         ++m_inFlight;
         if (end == CallerConnection::ReadEnd::Rejected) {
-            co_await writeOwn(connection, connection.rejection(), {}, Reason::BadRequest);
+            const bool isFull = connection.rejection() == 503;
+            co_await writeOwn(
+                connection, connection.rejection(), {}, isFull ? Reason::ServerLimit : Reason::BadRequest);
             --m_inFlight;
             break;
         }
@@ -111,7 +114,7 @@
     request.target = std::string(target);
     request.headers = hop_codec::passedFields(
         message, { m_names.callId, m_names.deadline, m_names.expectedInstance, m_names.callerService });
-    request.body = std::move(message.body());
+    request.body = connection.takeBody();
     request.id = CallId(id);
     request.callerService = m_node.service;
     request.kind = route.kind;
@@ -212,7 +215,7 @@
     });
     const SteadyTime deadline = request.deadline + answerSlack;
     End end = co_await exchange->send(
-        hop_codec::requestHead(request, m_names.callId, m_clock.now()), request.body, deadline);
+        hop_codec::requestHead(request, m_names.callId, m_clock.now()), request.bodyText(), deadline);
     if (end == End::Complete)
         end = co_await exchange->readHead(deadline);
     std::optional<Answer> answer;
--- a/snipeweir/relay/CallerPath.h
+++ b/snipeweir/relay/CallerPath.h
@@ -40,7 +40,7 @@
     };
 
     CallerPath(const asio::any_io_executor&, const Clock&, Settings, const RelaySettings&, const WireNames&,
-        const FleetView&, PeerLoads&, ServerPath&, JsonLog&, Metrics&, uint64_t seed);
+        const FleetView&, PeerLoads&, ServerPath&, BodyMemory&, JsonLog&, Metrics&, uint64_t seed);
 
     /// Serves one connection until it ends.
     asio::awaitable<void> serve(asio::ip::tcp::socket);
@@ -88,6 +88,7 @@
     const FleetView& m_view;
     PeerLoads& m_peers;
     ServerPath& m_server;
+    BodyMemory& m_bodyMemory;
     JsonLog& m_log;
     Metrics& m_metrics;
     Random m_random;
--- a/snipeweir/relay/HopCodec.cpp
+++ b/snipeweir/relay/HopCodec.cpp
@@ -67,7 +67,7 @@
     for (const int64_t number : { static_cast<int64_t>(request.kind), static_cast<int64_t>(request.priority),
              microseconds(request.targetAt - now), microseconds(request.deadline - now), request.work.count() })
         head.append(" ").append(std::to_string(number));
-    head.append("\r\nContent-Length: ").append(std::to_string(request.body.size())).append("\r\n\r\n");
+    head.append("\r\nContent-Length: ").append(std::to_string(request.bodyText().size())).append("\r\n\r\n");
     return head;
 }
 
@@ -95,7 +95,6 @@
     request.target = std::string(message.target());
     request.headers = passedFields(message, { callIdField });
     request.id = CallId(std::string(message[callIdField]));
-    request.body = std::move(message.body());
     request.service = ServiceName(service);
     request.instance = instance;
     request.callerService = ServiceName(callerService);
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -25,6 +25,8 @@
     /// A change of the settings must be in force within two seconds.
     constexpr std::chrono::milliseconds settingsInterval { 1000 };
     constexpr std::chrono::milliseconds peerWriteTimeout { 5000 };
+    /// Memory for the bodies of all requests: one of the greatest size and some others, on a VM that gives 160 MB.
+    constexpr size_t bodyMemoryBytes = 96U << 20U;
 
     uint64_t randomSeed()
     {
@@ -82,7 +84,8 @@
 
 Relay::Relay(RelaySettings settings, WireNames names, const Clock& clock, JsonLog& log,
     const std::function<FleetSource(asio::any_io_executor)>& makeSource)
-    : m_settings(std::move(settings))
+    : m_bodyMemory(bodyMemoryBytes)
+    , m_settings(std::move(settings))
     , m_names(std::move(names))
     , m_clock(clock)
     , m_log(log)
@@ -92,7 +95,7 @@
           log, randomSeed())
     , m_server(m_context.get_executor(), clock, ServerPath::Settings(), m_settings, m_names, m_view, log, m_metrics)
     , m_callers(m_context.get_executor(), clock, CallerPath::Settings(), m_settings, m_names, m_view, m_peers, m_server,
-          log, m_metrics, randomSeed())
+          m_bodyMemory, log, m_metrics, randomSeed())
     , m_signals(m_context, SIGTERM, SIGHUP)
 {
     m_peers.ownLoad = [this] { return m_server.load(); };
@@ -148,7 +151,7 @@
 
 asio::awaitable<void> Relay::servePeer(asio::ip::tcp::socket socket)
 {
-    CallerConnection connection(std::move(socket));
+    CallerConnection connection(std::move(socket), m_bodyMemory);
     while (connection.canGoOn()) {
         const auto end = co_await connection.read(peerLimits());
         if (end != CallerConnection::ReadEnd::Request)
@@ -176,6 +179,7 @@
         co_return;
     }
     Answer answer = Answer::notRun(Reason::WrongEndpoint);
+    request->body = connection.takeBody();
     auto cancellation = std::make_shared<Cancellation>();
     if (request->service == m_settings.service) {
         connection.watchForLeave([cancellation] { cancellation->cancel(); });
@@ -193,7 +197,7 @@
 
 asio::awaitable<void> Relay::serveStatus(asio::ip::tcp::socket socket)
 {
-    CallerConnection connection(std::move(socket));
+    CallerConnection connection(std::move(socket), m_bodyMemory);
     while (connection.canGoOn()) {
         const auto end = co_await connection.read(CallerLimits());
         if (end != CallerConnection::ReadEnd::Request)
--- a/snipeweir/relay/Relay.h
+++ b/snipeweir/relay/Relay.h
@@ -47,7 +47,9 @@
     bool isReady() const;
     void reload();
 
-    // The context goes last of all, since sockets and coroutines use it.
+    // The bodies that coroutines hold go with the context.
+    BodyMemory m_bodyMemory;
+    // The context goes after all others, since sockets and coroutines use it.
     asio::io_context m_context { 1 };
     RelaySettings m_settings;
     WireNames m_names;
--- a/snipeweir/relay/RelayRequest.h
+++ b/snipeweir/relay/RelayRequest.h
@@ -3,6 +3,7 @@
 #include "snipeweir/core/CallTypes.h"
 #include "snipeweir/core/Clock.h"
 #include "snipeweir/core/Identity.h"
+#include "snipeweir/relay/RequestBody.h"
 #include "snipeweir/routes/RouteConfiguration.h"
 
 #include <functional>
@@ -48,7 +49,8 @@
     std::string target;
     /// Fields to pass on: neither those of one connection nor those that the system sets.
     std::vector<HeaderField> headers;
-    std::string body;
+    /// Null for none.
+    std::shared_ptr<const RequestBody> body;
     CallId id;
     ServiceName service;
     /// Service on the VM where the request began.
@@ -61,6 +63,12 @@
     std::chrono::microseconds work { 0 };
     /// Instance that the sender expects.
     std::string instance;
+
+    const std::string& bodyText() const
+    {
+        static const std::string none;
+        return body ? body->text : none;
+    }
 };
 
 /// How a request ended at one backend server.
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -192,8 +192,9 @@
     appendField(head, m_names.deadline, millisecondsLeft(request.deadline, m_clock.now()));
     appendField(head, m_names.expectedInstance, request.instance);
     appendField(head, m_names.callerService, request.callerService.text());
-    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD" && request.method != "DELETE"))
-        appendField(head, "Content-Length", std::to_string(request.body.size()));
+    if (!request.bodyText().empty()
+        || (request.method != "GET" && request.method != "HEAD" && request.method != "DELETE"))
+        appendField(head, "Content-Length", std::to_string(request.bodyText().size()));
     head.append("\r\n");
     return head;
 }
@@ -246,7 +247,7 @@
                 current->cancel();
         });
         ++m_counters.sent;
-        End end = co_await exchange->send(requestHead(request), request.body, request.deadline);
+        End end = co_await exchange->send(requestHead(request), request.bodyText(), request.deadline);
         if (end == End::Complete)
             end = co_await exchange->readHead(request.deadline);
         const bool hasLostKeptConnection
--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -294,6 +294,7 @@
         self.store = Store(f"{subnet}.9.9")
         self.nodes = [Node(self, i, service, "ab"[i % 2]) for i, service in enumerate(services)]
         self.version = 1
+        self.max_body = 1048576
         self.next_id = 0
 
     async def start(self, with_config=True):
@@ -344,7 +345,7 @@
                      "spec": {"healthPath": "/health", "maxConnections": 250, "coldStart": "3s", "coldPerS": 11.0}}
                     for name in sorted({node.service for node in self.nodes})]
         limits = [{"typeUrl": "limits", "metadata": {},
-                   "spec": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeout": "3000ms",
+                   "spec": {"maxHeaderBytes": 16384, "maxBodyBytes": self.max_body, "headerTimeout": "3000ms",
                             "idleTimeout": "15000ms"}}]
         self.store.put("op/config", json.dumps(
             {"version": f"{self.version:08x}", "resources": routes + services + limits}).encode())
--- a/tests/relay/test_rules.py
+++ b/tests/relay/test_rules.py
@@ -146,6 +146,30 @@
         self.assertTrue(reply is None or reply.status == 400)
         self.assertEqual(sum(len(backend.arrivals) for backend in self.backends()), 0)
 
+    async def test_bodies_that_have_no_room_are_refused_and_the_others_served(self):
+        self.fleet.max_body = 64 << 20
+        self.fleet.configure([self.fleet.route("/s/", "safe", "one"), self.fleet.route("/u/", "unsafe", "one")])
+        await asyncio.sleep(2)
+        node = self.fleet.nodes[0]
+        request = (f"POST /u/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: large\r\nDeadline-Ms: 2000\r\n"
+                   f"Content-Length: {60 << 20}\r\n\r\nbegin").encode()
+        _, first = await asyncio.open_connection(node.ip, PORTS["callers"])
+        first.write(request)
+        await asyncio.sleep(0.2)
+        reader, second = await asyncio.open_connection(node.ip, PORTS["callers"])
+        second.write(request)
+        self.assertIn(b" 503 ", await asyncio.wait_for(reader.readline(), 1))
+        self.assertEqual((await self.fleet.send(node, "POST", "/u/x", body=b"small")).status, 200)
+        first.close()
+        second.close()
+        await asyncio.sleep(0.2)
+        reader, third = await asyncio.open_connection(node.ip, PORTS["callers"])
+        third.write(request)
+        with self.assertRaises(asyncio.TimeoutError):
+            await asyncio.wait_for(reader.readline(), 0.5)
+        third.close()
+        self.assertEqual(self.runs("large"), 0)
+
     # What operators decide.
 
     async def test_before_configuration_requests_are_refused_and_not_denied(self):
