--- a/tests/relay/soak.py
+++ b/tests/relay/soak.py
@@ -16,7 +16,7 @@
 from fleet import Fleet, read_head, PORTS  # noqa: E402
 
 # Bounds of the deployment that the fleet plays, in seconds; settle is the time after a fault in which they don't bind.
-DRAIN, CONFIG, SETTLE, GRACE = 2.0, 2.0, 3.0, 6.0
+DRAIN, EVACUATE, SETTLE, GRACE = 2.0, 5.0, 3.0, 6.0
 COLD_PER_SECOND = 11 * 1.5 + 5
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 
@@ -28,7 +28,7 @@
         self.replies = []  # (id, is unsafe, status)
         self.faulted_until = {node.index: 0.0 for node in fleet.nodes}
         self.store_faulted_until = 0.0
-        self.closed_at = {}  # backend -> time from which it gets nothing
+        self.evacuated = None  # The zone that is out of service.
         self.seen_routes = {}  # (node, pid) -> route numbers served
         self.routes = 0
         self.requests = 0
@@ -157,22 +157,27 @@
 
     async def drain(self, node):
         self.fleet.register(node, "draining")
-        await self.closed(node.backend, DRAIN, lambda: self.fleet.register(node))
+        await self.closed([node.backend], DRAIN, lambda: self.fleet.register(node))
 
     async def evacuate(self, node):
+        if self.evacuated:
+            return
+        self.evacuated = node.zone
         self.fleet.store.put(f"op/evacuate/{node.zone}", b"{}")
-        await asyncio.sleep(DRAIN + self.random.uniform(0, 1))
-        self.fleet.store.remove(f"op/evacuate/{node.zone}")
+        backends = [other.backend for other in self.fleet.nodes if other.zone == node.zone]
+        await self.closed(backends, EVACUATE, lambda: self.fleet.store.remove(f"op/evacuate/{node.zone}"))
+        self.evacuated = None
 
-    async def closed(self, backend, bound, reopen):
+    async def closed(self, backends, bound, reopen):
         """Nothing may arrive from the bound on, unless a fault shook the store or a node meanwhile."""
         said = time.monotonic()
         await asyncio.sleep(bound + 1)
         until = time.monotonic()
         calm = max(self.store_faulted_until, *self.faulted_until.values()) < said
-        late = [a for a in backend.arrivals if said + bound < a[0] < until]
-        if calm and late:
-            self.fault(f"{len(late)} requests reached {backend.instance} after it had said that it leaves")
+        for backend in backends:
+            late = [a for a in backend.arrivals if said + bound < a[0] < until]
+            if calm and late:
+                self.fault(f"{len(late)} requests reached {backend.instance} {bound} s after it was taken out")
         reopen()
 
     async def configure(self, _):
--- /dev/null
+++ b/tests/relay/test_soak_checker.py
@@ -0,0 +1,177 @@
+"""Shows that the soak's checks can fail: each is given what a broken node would have done, on stand-ins of our own.
+
+Usage: test_soak_checker.py [unittest arguments]"""
+
+import asyncio
+import os
+import random
+import sys
+import time
+import types
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import soak as soak_module  # noqa: E402
+from fleet import Backend, Reply  # noqa: E402
+
+
+class FakeProcess:
+    def __init__(self, code, seconds=0.0):
+        self.code, self.seconds, self.pid, self.returncode = code, seconds, 1, None
+
+    async def wait(self):
+        await asyncio.sleep(self.seconds)
+        return self.code
+
+
+class FakeNode:
+    def __init__(self, index):
+        self.index, self.zone, self.ip = index, "a", "127.0.0.1"
+        self.backend = Backend(f"i-{index}", "one")
+        self.process = FakeProcess(0)
+
+    def signal(self, _):
+        pass
+
+    async def kill(self):
+        pass
+
+    async def start_process(self):
+        pass
+
+
+class FakeFleet:
+    def __init__(self):
+        self.nodes = [FakeNode(0), FakeNode(1)]
+        self.store = types.SimpleNamespace(put=lambda *_: None, remove=lambda *_: None)
+        self.replies = []
+        self.count = 0
+
+    def register(self, *_):
+        pass
+
+    def new_id(self):
+        self.count += 1
+        return f"id{self.count:08d}"
+
+    async def send(self, *_, **__):
+        return self.replies.pop(0) if self.replies else None
+
+    async def wait_ready(self, _):
+        pass
+
+
+class CheckerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.fleet = FakeFleet()
+        self.soak = soak_module.Soak(self.fleet, 1, 10)
+        self.soak.start = time.monotonic()
+        self.soak.end = self.soak.start + 10
+        self.node = self.fleet.nodes[0]
+
+    def assertBroken(self, text):
+        self.assertEqual(len(self.soak.broken), 1, self.soak.broken)
+        self.assertIn(text, self.soak.broken[0])
+
+    def ran(self, node, request_id):
+        node.backend.started.append(request_id)
+        node.backend.arrivals.append((time.monotonic(), request_id, "POST /u/x HTTP/1.1", {}))
+
+    async def ask(self, answer):
+        """One request of a caller to a server that gives this answer; {id} stands for the request's id."""
+
+        async def serve(reader, writer):
+            head = await soak_module.read_head(reader)
+            writer.write(answer.replace("{id}", head[1]["request-id"]).encode())
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        await self.soak.one_request(random.Random(5), reader, writer)
+        writer.close()
+        server.close()
+
+    async def test_a_sound_run_breaks_nothing(self):
+        self.soak.requests = 2
+        self.ran(self.node, "x")
+        self.soak.replies = [("x", True, 502), ("y", True, 503)]
+        self.soak.check_runs()
+        body = "{id}" * 20
+        await self.ask(f"HTTP/1.1 200 X\r\nRequest-Id: {{id}}\r\nServer-Seal: s\r\nContent-Length: 200\r\n\r\n{body}")
+        self.assertEqual(self.soak.broken, [])
+
+    async def test_a_refusal_of_what_has_run(self):
+        self.soak.requests = 1
+        self.ran(self.node, "x")
+        self.soak.replies = [("x", True, 503)]
+        self.soak.check_runs()
+        self.assertBroken("was refused with 503 and has run")
+
+    async def test_a_second_run_of_what_may_run_once(self):
+        self.soak.requests = 2
+        for node in self.fleet.nodes:
+            self.ran(node, "x")
+        self.soak.check_runs()
+        self.assertBroken("ran 2 times")
+
+    async def test_repeats_beyond_the_budget(self):
+        self.soak.requests = 100
+        for number in range(200):
+            self.node.backend.arrivals.append((0.0, f"s{number}", "GET /s/x HTTP/1.1", {}))
+        self.soak.check_runs()
+        self.assertBroken("exceed the budget")
+
+    async def test_the_answer_of_another_request(self):
+        await self.ask("HTTP/1.1 500 X\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n")
+        self.assertBroken("got the answer of other")
+
+    async def test_a_success_that_is_not_whole_or_not_the_servers(self):
+        await self.ask("HTTP/1.1 200 X\r\nRequest-Id: {id}\r\nServer-Seal: s\r\nContent-Length: 3\r\n\r\nabc")
+        self.assertBroken("not its server's whole answer")
+
+    async def test_requests_at_a_server_that_was_taken_out(self):
+        for step, bound in (("drain", "DRAIN"), ("evacuate", "EVACUATE")):
+            self.soak.broken.clear()
+            self.node.backend.arrivals.clear()
+            saved = getattr(soak_module, bound)
+            setattr(soak_module, bound, 0.1)
+            task = asyncio.ensure_future(getattr(self.soak, step)(self.node))
+            await asyncio.sleep(0.5)
+            self.ran(self.node, "late")
+            await task
+            setattr(soak_module, bound, saved)
+            self.assertBroken("after it was taken out")
+
+    async def test_a_cold_server_that_gets_more_than_it_bears(self):
+        task = asyncio.ensure_future(self.soak.cold(self.node))
+        await asyncio.sleep(0.6)
+        for number in range(30):
+            self.ran(self.node, f"c{number}")
+        await task
+        self.assertBroken("while cold")
+
+    async def test_a_planned_stop_that_fails(self):
+        self.node.process = FakeProcess(1)
+        await self.soak.stop(self.node)
+        self.assertBroken("ended a planned stop with 1")
+
+    async def test_a_planned_stop_that_takes_too_long(self):
+        self.node.process = FakeProcess(0, 30)
+        saved, soak_module.GRACE = soak_module.GRACE, 0.1
+        await self.soak.stop(self.node)
+        soak_module.GRACE = saved
+        self.assertBroken("was not done")
+
+    async def test_a_route_that_is_forgotten(self):
+        self.soak.routes = 1
+        self.fleet.replies = [Reply(200, {}, b"", True), Reply(404, {}, b"", True)]
+        self.soak.end = time.monotonic() + 0.8
+        await self.soak.prober(self.node)
+        self.assertBroken("forgot route 1")
+
+    async def test_a_fleet_that_does_not_recover(self):
+        await self.soak.recover()
+        self.assertBroken("after all faults only 0 of 6")
+
+
+if __name__ == "__main__":
+    unittest.main()
