Use a node that was heard of lately where no node answers

Change: where no asked node answers or accepts, Placement takes the cheapest one whose report is not older than 3 s. The placing test fails without the change.

--- a/snipeweir/placing/Placement.cpp
+++ b/snipeweir/placing/Placement.cpp
@@ -50,12 +50,21 @@
 
 std::optional<size_t> Placement::choose(
     const RequestProfile& profile, const std::vector<PlacementCandidate>& candidates) const
+{
+    const auto best = chooseAmong(profile, candidates, false);
+    return best ? best : chooseAmong(profile, candidates, true);
+}
+
+std::optional<size_t> Placement::chooseAmong(
+    const RequestProfile& profile, const std::vector<PlacementCandidate>& candidates, bool isSilent) const
 {
     std::optional<size_t> best;
     double bestCost = 0;
     for (size_t position = 0; position < candidates.size(); ++position) {
         const NodeLoad& load = candidates[position].load;
-        if (!load.isAccepting)
+        if (!load.isAccepting || candidates[position].isSilent != isSilent)
+            continue;
+        if (isSilent && candidates[position].age > m_settings.silentReportLife)
             continue;
         const double candidateCost = cost(profile, candidates[position]);
         if (!best || candidateCost < bestCost) {
--- a/snipeweir/placing/Placement.h
+++ b/snipeweir/placing/Placement.h
@@ -25,6 +25,8 @@
     std::chrono::microseconds age { 0 };
     std::chrono::microseconds roundTrip { 0 };
     bool isSameDataCentre = true;
+    /// Whether the node has left the last questions unanswered.
+    bool isSilent = false;
 };
 
 /// Estimates where a request is answered in time at the least cost. Answers the load that shifts within milliseconds:
@@ -45,6 +47,9 @@
         int hopRoundTrips = 4;
         /// Work of a cold backend server, in multiples of the usual.
         double coldFactor = 2;
+        /// Age up to which the report of a silent node is used when no other node is known. Datagrams are lost on full
+        /// links, on which connections still work; a node that is down has been silent for longer.
+        std::chrono::milliseconds silentReportLife { 3000 };
     };
 
     explicit Placement(Settings settings)
@@ -58,10 +63,14 @@
     /// @return Cost for comparison, in requests' worth; grows with the square of expected latency over the time left.
     double cost(const RequestProfile&, const PlacementCandidate&) const;
 
-    /// @return Position of the cheapest candidate that accepts requests; empty if none does.
+    /// @return Position of the cheapest candidate that accepts requests; one that is silent only if there is no other.
+    /// Empty if none accepts.
     std::optional<size_t> choose(const RequestProfile&, const std::vector<PlacementCandidate>&) const;
 
 private:
+    std::optional<size_t> chooseAmong(
+        const RequestProfile&, const std::vector<PlacementCandidate>&, bool isSilent) const;
+
     Settings m_settings;
 };
 
--- a/snipeweir/relay/CallerChoice.cpp
+++ b/snipeweir/relay/CallerChoice.cpp
@@ -49,14 +49,15 @@
     }
     co_await m_peers.ask(asked);
 
-    // The view may have changed while the replies were on their way.
+    // The view may have changed while the replies were on their way. Nodes that were not asked count as silent.
     std::vector<PlacementCandidate> candidates;
     std::vector<const BackendEntry*> entries;
     const SteadyTime chosenAt = m_clock.now();
     for (const BackendEntry* entry : m_view.usable(request.service)) {
-        if (std::find(instances.begin(), instances.end(), entry->instance) == instances.end())
-            continue;
         const std::string& ip = entry->address.ip;
+        if (std::find(call.tried.begin(), call.tried.end(), ip) != call.tried.end())
+            continue;
+        const bool wasAsked = std::find(instances.begin(), instances.end(), entry->instance) != instances.end();
         PlacementCandidate candidate;
         candidate.isSameDataCentre = entry->dataCentre == m_node.dataCentre;
         if (ip == m_node.peers.ip) {
@@ -64,8 +65,9 @@
         } else {
             const PeerLoads::Peer& peer = m_peers.peer(ip);
             const bool hasAnswered = peer.loadAt >= now - answerAge;
-            if (!hasAnswered && (m_peers.isSilent(ip) || peer.loadAt == SteadyTime {}))
+            if (peer.loadAt == SteadyTime {})
                 continue;
+            candidate.isSilent = !wasAsked || (!hasAnswered && m_peers.isSilent(ip));
             candidate.load = peer.load;
             candidate.age = std::chrono::duration_cast<std::chrono::microseconds>(chosenAt - peer.loadAt);
             candidate.roundTrip = peer.roundTrip;
@@ -84,7 +86,10 @@
     if (!best) {
         m_log.request(JsonLog::Weight::Refusal, "no_choice", request.id,
             { { "service", request.service.text() }, { "usable", std::to_string(options.size()) },
-                { "asked", std::to_string(asked.size()) }, { "known", std::to_string(candidates.size()) },
+                { "asked", std::to_string(asked.size()) },
+                { "known",
+                    std::to_string(std::count_if(candidates.begin(), candidates.end(),
+                        [](const auto& candidate) { return !candidate.isSilent; })) },
                 { "backends_revision", std::to_string(m_view.backendRevision().value) } });
         co_return nullptr;
     }
--- a/tests/placing/PlacementTests.cpp
+++ b/tests/placing/PlacementTests.cpp
@@ -22,6 +22,30 @@
 
 }
 
+TEST_CASE("A node whose replies are lost on a full link is chosen while no other is known, one that is down is not")
+{
+    const Placement placement { Placement::Settings() };
+    const RequestProfile profile;
+    PlacementCandidate silent;
+    silent.load.isAccepting = true;
+    silent.isSilent = true;
+    silent.age = 800ms;
+    PlacementCandidate down = silent;
+    down.age = 5s;
+    CHECK(placement.choose(profile, { down, silent }) == 1);
+    CHECK_FALSE(placement.choose(profile, { down }));
+
+    // Any node that answers goes before it, however busy.
+    PlacementCandidate busy;
+    busy.load.isAccepting = true;
+    busy.load.running = 9;
+    busy.load.limit = 9;
+    busy.load.waiting = 5;
+    CHECK(placement.choose(profile, { silent, busy }) == 1);
+    busy.load.isAccepting = false;
+    CHECK(placement.choose(profile, { silent, busy }) == 0);
+}
+
 TEST_CASE("A slowed backend server is passed over for a busier one at full speed")
 {
     const Placement placement { Placement::Settings() };
