--- a/snipeweir/core/Clock.h
+++ b/snipeweir/core/Clock.h
@@ -31,11 +31,13 @@
 /// Steady time that goes on while the VM is suspended, so that deadlines pass and what is known grows old meanwhile.
 /// Has the members that timers expect of a clock.
 struct BootTime {
+    // The names are those that the standard requires of a clock.
+    // NOLINTBEGIN(readability-identifier-naming)
     using time_point = SteadyTime;
     using duration = time_point::duration;
     using rep = duration::rep;
     using period = duration::period;
-    static constexpr bool is_steady = true;
+    // NOLINTEND(readability-identifier-naming)
 
     static time_point now()
     {
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -190,6 +190,7 @@
     for (const BackendEntry& entry : m_view.backends())
         order.emplace(hashOf(entry.address.ip), entry.address.ip);
     std::vector<std::string> ips;
+    ips.reserve(order.size());
     for (const auto& [hash, ip] : order)
         ips.push_back(ip);
     auto rank = std::find(ips.begin(), ips.end(), m_node.peers.ip) - ips.begin();
