--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -40,7 +40,7 @@
     constexpr std::chrono::milliseconds levelDelay { 120 };
     constexpr uint32_t sourceTries = 2;
     /// Rank of a node that lets all others read first.
-    constexpr ptrdiff_t lastRank = 1000;
+    constexpr size_t lastRank = 1000;
     constexpr int compressionLevel = 3;
     constexpr uint64_t maxDocumentBytes = 64U << 20U;
 
@@ -99,7 +99,7 @@
     updateRank();
     std::chrono::milliseconds extra(hashOf(node.peers.ip) % startSpreadMs);
     // The seeds read first, since the others ask them.
-    if (std::find(node.seeds.begin(), node.seeds.end(), node.peers.ip) != node.seeds.end())
+    if (seedPosition())
         extra = std::chrono::milliseconds(0);
     m_turn.start(clock.now(), extra);
 }
@@ -193,12 +193,10 @@
     ips.reserve(order.size());
     for (const auto& [hash, ip] : order)
         ips.push_back(ip);
-    auto rank = std::find(ips.begin(), ips.end(), m_node.peers.ip) - ips.begin();
+    auto rank = static_cast<size_t>(std::find(ips.begin(), ips.end(), m_node.peers.ip) - ips.begin());
     // A node that is not registered leaves reading to the seeds and to those that are.
     if (!isRegistered() && !m_node.seeds.empty())
-        rank = std::find(m_node.seeds.begin(), m_node.seeds.end(), m_node.peers.ip) == m_node.seeds.end()
-            ? lastRank
-            : std::find(m_node.seeds.begin(), m_node.seeds.end(), m_node.peers.ip) - m_node.seeds.begin();
+        rank = seedPosition().value_or(lastRank);
     m_turn.setRank(static_cast<uint32_t>(rank));
     m_peers.keepOnly(ips);
     std::erase_if(
@@ -206,6 +204,14 @@
     m_tree.setOrder(std::move(ips));
 }
 
+std::optional<size_t> FleetFollower::seedPosition() const
+{
+    const auto seed = std::find(m_node.seeds.begin(), m_node.seeds.end(), m_node.peers.ip);
+    if (seed == m_node.seeds.end())
+        return std::nullopt;
+    return static_cast<size_t>(seed - m_node.seeds.begin());
+}
+
 bool FleetFollower::isRegistered() const
 {
     const auto& entries = m_view.backends();
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -61,6 +61,8 @@
     void updateRank();
     /// @return Whether the backend server beside this node is registered, so that all nodes know of this one.
     bool isRegistered() const;
+    /// @return Position of this node among the seeds; empty if it is none.
+    std::optional<size_t> seedPosition() const;
     PeerMessage makeAnnouncement();
     void announce();
     /// Sends an announcement to the nodes that get it from this one.
--- a/snipeweir/relay/PeerLoads.cpp
+++ b/snipeweir/relay/PeerLoads.cpp
@@ -1,6 +1,7 @@
 #include "snipeweir/relay/PeerLoads.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace snipeweir {
 
@@ -136,8 +137,8 @@
 
 void PeerLoads::keepOnly(const std::vector<std::string>& ips)
 {
-    std::erase_if(
-        m_peers, [&](const auto& entry) { return std::find(ips.begin(), ips.end(), entry.first) == ips.end(); });
+    const std::unordered_set<std::string_view> kept(ips.begin(), ips.end());
+    std::erase_if(m_peers, [&](const auto& entry) { return !kept.contains(entry.first); });
 }
 
 }
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -145,7 +145,7 @@
         ++m_counters.refused;
         m_metrics.count("snipeweir_server_refusals_total{reason=\"" + std::string(reasonName(decision.reason)) + "\"}");
         const NodeLoad now = m_gate.load();
-        m_log.request(JsonLog::Weight::Refusal, "refused", request.id,
+        m_log.request(JsonLog::Weight::Ordinary, "refused", request.id,
             { { "reason", std::string(reasonName(decision.reason)) }, { "running", std::to_string(now.running) },
                 { "waiting", std::to_string(now.waiting) }, { "limit", std::to_string(now.limit) },
                 { "slowness", std::to_string(now.slownessPercent) } });
