--- a/snipeweir/relay/CallerChoice.cpp
+++ b/snipeweir/relay/CallerChoice.cpp
@@ -84,12 +84,11 @@
     profile.answerBytes = statistics.answerBytes;
     const auto best = m_placement.choose(profile, candidates);
     if (!best) {
+        const auto known = std::count_if(
+            candidates.begin(), candidates.end(), [](const auto& candidate) { return !candidate.isSilent; });
         m_log.request(JsonLog::Weight::Refusal, "no_choice", request.id,
             { { "service", request.service.text() }, { "usable", std::to_string(options.size()) },
-                { "asked", std::to_string(asked.size()) },
-                { "known",
-                    std::to_string(std::count_if(candidates.begin(), candidates.end(),
-                        [](const auto& candidate) { return !candidate.isSilent; })) },
+                { "asked", std::to_string(asked.size()) }, { "known", std::to_string(known) },
                 { "backends_revision", std::to_string(m_view.backendRevision().value) } });
         co_return nullptr;
     }
