Suspend a node for two seconds in the test that looks for the log line

Traced: callers are refused after 30 ms when the nodes are stopped, so that the suspension lasted about 1.03 s; a timer that fires over 1 s late is logged, and up to 90 ms of the suspension belong to the wait itself.

--- a/tests/relay/test_rules.py
+++ b/tests/relay/test_rules.py
@@ -357,7 +357,7 @@
         ids = [self.fleet.new_id() for _ in range(4)]
         await asyncio.gather(*(self.fleet.send(self.fleet.nodes[3], "POST", "/u/x", deadline=500, request_id=i)
                                for i in ids))
-        await asyncio.sleep(1)
+        await asyncio.sleep(2)  # Past the second from which a node says that it was suspended, less one health check.
         before = [self.runs(i) for i in ids]
         for node in self.fleet.nodes[:3]:
             node.signal(signal.SIGCONT)
