--- a/tests/relay/test_rules.py
+++ b/tests/relay/test_rules.py
@@ -45,6 +45,12 @@
         return await asyncio.gather(
             *(self.fleet.send(nodes[i % len(nodes)], method, path, **more) for i in range(count)))
 
+    async def assert_gets_nothing_after_two_seconds(self, backend):
+        await asyncio.sleep(2)
+        end = time.monotonic()
+        await self.burst(40)
+        self.assertFalse([a for a in backend.arrivals if a[0] > end])
+
     # What callers get.
 
     async def test_requests_of_all_nodes_are_served_whole(self):
@@ -190,27 +196,18 @@
     async def test_a_draining_server_gets_no_requests_after_two_seconds(self):
         leaving = self.fleet.nodes[0]
         self.fleet.register(leaving, "draining")
-        await asyncio.sleep(2)
-        end = time.monotonic()
-        await self.burst(40)
-        self.assertFalse([a for a in leaving.backend.arrivals if a[0] > end])
+        await self.assert_gets_nothing_after_two_seconds(leaving.backend)
 
     async def test_a_server_whose_entry_is_removed_gets_no_requests_after_two_seconds(self):
         leaving = self.fleet.nodes[1]
         self.fleet.store.remove(f"servers/{leaving.backend.instance}")
-        await asyncio.sleep(2)
-        end = time.monotonic()
-        await self.burst(40)
-        self.assertFalse([a for a in leaving.backend.arrivals if a[0] > end])
+        await self.assert_gets_nothing_after_two_seconds(leaving.backend)
 
     async def test_a_change_is_in_force_within_two_seconds_of_the_history_being_dropped(self):
         leaving = self.fleet.nodes[0]
         self.fleet.register(leaving, "draining")
         self.fleet.store.forget_history()
-        await asyncio.sleep(2)
-        end = time.monotonic()
-        await self.burst(40)
-        self.assertFalse([a for a in leaving.backend.arrivals if a[0] > end])
+        await self.assert_gets_nothing_after_two_seconds(leaving.backend)
 
     async def test_a_change_is_in_force_within_two_seconds_though_connections_to_the_store_went_silent(self):
         for node in self.fleet.nodes:
@@ -220,10 +217,7 @@
             node.store_proxy.set_mode("pass")
         leaving = self.fleet.nodes[0]
         self.fleet.register(leaving, "draining")
-        await asyncio.sleep(2)
-        end = time.monotonic()
-        await self.burst(40)
-        self.assertFalse([a for a in leaving.backend.arrivals if a[0] > end])
+        await self.assert_gets_nothing_after_two_seconds(leaving.backend)
 
     async def test_a_calm_fleet_asks_the_store_less_than_twice_a_second(self):
         await asyncio.sleep(1)
