--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -160,12 +160,15 @@
 
     def __init__(self, instance, service, service_time=0.05):
         self.instance, self.service, self.service_time = instance, service, service_time
+        self.born = 1700000000000
         self.mode = "ok"
         self.cold_until = 0.0
         self.arrivals = []  # (time, id, path, fields)
         self.started = []  # ids of requests that ran
         self.aborted_runs = []  # (time, id) of runs whose connection the node closed
         self.health_checks = 0
+        self.is_leaving = False  # Whether all responses say that the server leaves.
+        self.is_health_silent = False  # Whether health checks get no response.
         self.body = b"x" * 300
         self.echoes_request_id = False  # Whether the response's body contains the request's id.
 
@@ -178,7 +181,11 @@
     def entry(self, ip, zone, state="ready"):
         return json.dumps({"service": self.service, "address": f"{ip}:{PORTS['backend']}", "zone": zone,
                            "version": "v1", "slots": 10, "state": state, "coldRemaining": "0ms", "seq": 1,
-                           "born": 1700000000000}).encode()
+                           "born": self.born}).encode()
+
+    def notices(self):
+        """Returns the header lines in which all responses say what the server needs."""
+        return "Server-Leaving: 1\r\n" if self.is_leaving else ""
 
     async def serve(self, reader, writer):
         try:
@@ -187,10 +194,14 @@
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 if line.split(" ")[1] == "/health":
                     self.health_checks += 1
+                    if self.is_health_silent:
+                        await reader.read()
+                        return
                     cold = max(0, int((self.cold_until - time.monotonic()) * 1000))
                     extra = f"Cold-Ms: {cold}\r\n" if cold else ""
-                    writer.write(f"HTTP/1.1 200 OK\r\nInstance-Id: {self.instance}\r\nServer-Load: 0,0,10,100\r\n"
-                                 f"{extra}Content-Length: 0\r\n\r\n".encode())
+                    status = "503 X" if self.is_leaving else "200 OK"
+                    writer.write(f"HTTP/1.1 {status}\r\nInstance-Id: {self.instance}\r\nServer-Load: 0,0,10,100\r\n"
+                                 f"{self.notices()}{extra}Content-Length: 0\r\n\r\n".encode())
                     await writer.drain()
                     continue
                 await self.run(reader, writer, line, fields, body)
@@ -203,12 +214,12 @@
         request_id = fields.get("request-id", "")
         if fields.get("expected-instance", self.instance) != self.instance:
             writer.write(f"HTTP/1.1 421 X\r\nInstance-Id: {self.instance}\r\nRequest-Id: {request_id}\r\n"
-                         "Content-Length: 0\r\n\r\n".encode())
+                         f"{self.notices()}Content-Length: 0\r\n\r\n".encode())
             return
         self.arrivals.append((time.monotonic(), request_id, line, fields))
         if self.mode == "shed":
             writer.write(f"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: {request_id}\r\n"
-                         "Content-Length: 0\r\n\r\n".encode())
+                         f"{self.notices()}Content-Length: 0\r\n\r\n".encode())
             return
         self.started.append(request_id)
         mode = self.mode
@@ -227,8 +238,8 @@
         seal = "" if mode == "no_seal" else f"Server-Seal: seal-{self.instance}\r\n"
         encoded = "Content-Encoding: gzip\r\n" if mode == "encoded" else ""
         text = (request_id * 20).encode() if self.echoes_request_id else self.body
-        response = (f"HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\n{seal}{encoded}Server-Load: 1,0,10,100\r\n"
-                  f"Content-Length: {len(text)}\r\n\r\n").encode() + text
+        response = (f"HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\n{seal}{encoded}{self.notices()}"
+                    f"Server-Load: 1,0,10,100\r\nContent-Length: {len(text)}\r\n\r\n").encode() + text
         if mode == "cut":
             writer.write(response[:-20])
             raise ConnectionError
