Log when the backend server says in a response that it leaves

Change: the event server_leaving, from responses to requests and health checks; the field's name in WireNames. No decision depends on it.

--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -305,8 +305,10 @@
         }
     }
     updateLoad(*exchange);
-
     const unsigned status = exchange->status();
+    if (status != 421)
+        readLeavingNotice(*exchange, request.instance);
+
     if (status == 421 || exchange->hasField(m_names.notRun)) {
         run.wasNotRun = true;
         std::string ignored;
@@ -381,6 +383,14 @@
     advanceGate();
 }
 
+void ServerPath::readLeavingNotice(const HttpExchange& exchange, const std::string& instance)
+{
+    if (instance.empty() || instance == m_leavingInstance || !exchange.hasField(m_names.leaving))
+        return;
+    m_leavingInstance = instance;
+    m_log.logStateChange("server_leaving", { { "instance", instance } });
+}
+
 asio::awaitable<void> ServerPath::watchHealth()
 {
     Timer timer(m_executor);
@@ -425,6 +435,7 @@
         co_return false;
     updateLoad(exchange);
     const std::string instance(exchange.field(m_names.instance));
+    readLeavingNotice(exchange, instance);
     const auto cold = parseUnsigned(exchange.field(m_names.coldRemaining));
     const bool isHealthy = exchange.status() == 200;
     std::string body;
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -92,6 +92,9 @@
     asio::awaitable<Response> readResponse(const RelayRequest&, const std::shared_ptr<HttpExchange>&, Run&);
     std::string requestHead(const RelayRequest&) const;
     void updateLoad(HttpExchange&);
+    /// Reads from a response whether the server leaves.
+    /// @param instance Instance that sent the response; empty if it is not known.
+    void readLeavingNotice(const HttpExchange&, const std::string& instance);
     /// Detects a suspension of this process or VM.
     /// @param late Time from the expiry of a timer until its handler ran.
     void handleSuspension(std::chrono::nanoseconds late);
@@ -126,6 +129,8 @@
     /// Instance named in the last response to a health check; empty since the server became unreachable or
     /// responded with status 421.
     std::string m_instance;
+    /// Last instance that said in a response that it leaves.
+    std::string m_leavingInstance;
     SteadyTime m_loadAt {};
     bool m_isStopping = false;
     bool m_isServerUnreachable = false;
--- a/snipeweir/relay/WireNames.h
+++ b/snipeweir/relay/WireNames.h
@@ -37,6 +37,8 @@
     std::string instance = "Snipeweir-Instance";
     /// Time for which the backend server stays cold, in milliseconds.
     std::string coldRemaining = "Snipeweir-Cold-For";
+    /// Present in all responses of a backend server that leaves.
+    std::string leaving = "Snipeweir-Leaving";
     std::string readyPath = "/ready";
 
     /// Parses the value of the load field; returns no value if it is malformed.
