Stop sending to a backend server as soon as one of its responses says that it leaves

What callers saw: requests that reached a server later than 2 s after it had said that it leaves (Server-Leaving), and were lost when it exited. Cause: a node took the leaving of a server only from the source's document. What the server said of itself passed through two nodes unread, so each delay or loss on the way from the source counted in full, and without the source nothing stopped the requests. Class of fault: what a server says of itself was forwarded, not used. The serving node closes its gate at the first such response, also of a health check, and its queue is refused; since all requests to the server pass that gate, and load replies say that it is closed, no message to other nodes is needed. A calling node that received such a response leaves the server out of its choice by itself, so that a restart of the serving node forgets nothing. Leaving is final for an incarnation: instance and start time. The start time is now part of the document's digest, so that nodes hear of a new start under the same instance; while versions are mixed in a fleet, digests differ and nodes fetch the document more often. Test change: the requests that take the notice along run 0.2 s instead of 0.3 s, the time at which a hedge starts and wins; the case could fail before its check.

--- a/snipeweir/fleet/FleetView.cpp
+++ b/snipeweir/fleet/FleetView.cpp
@@ -56,6 +56,14 @@
     return isChanged;
 }
 
+bool FleetView::markLeaving(const BackendIncarnation& incarnation)
+{
+    if (!m_leaving.add(incarnation))
+        return false;
+    rebuildIndexes();
+    return true;
+}
+
 bool FleetView::expireMissing()
 {
     const SteadyTime now = m_clock.now();
@@ -84,7 +92,7 @@
     }
     m_usableByService.clear();
     for (const auto& [address, entry] : m_newestByAddress) {
-        if (!entry->isDraining && !isEvacuated(entry->dataCentre))
+        if (!isLeaving(*entry) && !isEvacuated(entry->dataCentre))
             m_usableByService[entry->service].push_back(entry);
     }
 }
--- a/snipeweir/fleet/FleetView.h
+++ b/snipeweir/fleet/FleetView.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipeweir/core/Clock.h"
+#include "snipeweir/fleet/LeavingBackends.h"
 #include "snipeweir/routes/RouteTable.h"
 
 #include <map>
@@ -12,22 +13,6 @@
 
 namespace snipeweir {
 
-/// Registration of a backend server.
-struct BackendEntry {
-    /// Identifier of one incarnation of the backend server, new after each restart.
-    std::string instance;
-    ServiceName service;
-    /// Address of the backend server. Its node has the same IP address.
-    Address address;
-    DataCentreName dataCentre;
-    uint32_t slots = 1;
-    bool isDraining = false;
-    /// Start time by the server's own clock, in milliseconds since the Unix epoch; zero if not reported.
-    uint64_t startedAtMs = 0;
-
-    bool operator==(const BackendEntry&) const = default;
-};
-
 /// All registered backend servers at one revision of the source.
 struct BackendList {
     Revision revision;
@@ -73,8 +58,18 @@
     bool isEvacuated(const DataCentreName& dataCentre) const { return m_evacuated.count(dataCentre) != 0; }
     const std::set<DataCentreName>& evacuated() const { return m_evacuated; }
 
+    /// Records that a backend server said in a response that it leaves, whatever its entry says.
+    /// @return Whether the view changed.
+    bool markLeaving(const BackendIncarnation&);
+
+    /// @return Whether the backend server leaves, by its entry or by its own responses.
+    bool isLeaving(const BackendEntry& entry) const
+    {
+        return entry.isDraining || m_leaving.contains(entry.incarnation());
+    }
+
     /// @return The backend servers of a service that may receive requests: the newest entry of each address, unless it
-    /// is draining or in a data centre out of service. Valid until the next change of the view.
+    /// is leaving or in a data centre out of service. Valid until the next change of the view.
     const std::vector<const BackendEntry*>& usable(const ServiceName&) const;
 
     /// @return The newest entry with this address; null if there is none.
@@ -91,6 +86,7 @@
     Revision m_configurationVersion;
     std::shared_ptr<const RouteTable> m_routes;
     std::set<DataCentreName> m_evacuated;
+    LeavingBackends m_leaving;
 
     // Indexes over m_backends, rebuilt with each change.
     std::map<Address, const BackendEntry*> m_newestByAddress;
--- a/snipeweir/relay/CallerCall.h
+++ b/snipeweir/relay/CallerCall.h
@@ -36,6 +36,8 @@
 struct CallerPath::Attempt {
     RelayRequest request;
     std::string ip;
+    /// Incarnation of the backend server that the request is sent to.
+    BackendIncarnation incarnation;
     Cancellation cancellation;
     std::optional<Response> response;
     bool isProcessed = false;
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -248,9 +248,19 @@
         attempt->response = co_await m_server.run(attempt->request, attempt->cancellation);
     else
         attempt->response = co_await sendToPeer(attempt->request, attempt->ip, attempt->cancellation);
+    if (isFromLeavingServer(*attempt->response))
+        onLeaving(attempt->incarnation);
     call->wakeTimer.cancel();
 }
 
+bool CallerPath::isFromLeavingServer(const Response& response) const
+{
+    if (response.kind == Response::Kind::NotRun)
+        return response.wasSent && response.reason == Reason::Draining;
+    return std::any_of(response.headers.begin(), response.headers.end(),
+        [this](const HeaderField& field) { return equalsIgnoringCase(field.name, m_names.leaving); });
+}
+
 asio::awaitable<void> CallerPath::relay(const std::shared_ptr<Call>& call)
 {
     const bool isIdempotentCall = isIdempotent(call->request.kind);
@@ -274,6 +284,7 @@
             purpose = Purpose::Primary;
             if (entry && !call->isCallerDisconnected) {
                 attempt->ip = entry->address.ip;
+                attempt->incarnation = entry->incarnation();
                 call->attemptedNodes.push_back(attempt->ip);
                 call->attempts.push_back(attempt);
                 ++call->attemptCount;
--- a/snipeweir/relay/CallerPath.h
+++ b/snipeweir/relay/CallerPath.h
@@ -52,6 +52,9 @@
     /// Refuses new requests; those in flight are completed.
     void stopAcceptingRequests() { m_isStopped = true; }
 
+    /// Called when a response says that its backend server leaves, at most once for each response.
+    std::function<void(const BackendIncarnation&)> onLeaving;
+
     /// @return Number of requests in flight.
     size_t inFlight() const { return m_inFlight; }
 
@@ -64,6 +67,8 @@
     asio::awaitable<void> serveRequest(InboundConnection&);
     asio::awaitable<void> relay(const std::shared_ptr<Call>&);
     asio::awaitable<void> runAttempt(std::shared_ptr<Call>, std::shared_ptr<Attempt>);
+    /// @return Whether the response says that its backend server leaves.
+    bool isFromLeavingServer(const Response&) const;
     asio::awaitable<Response> sendToPeer(const RelayRequest&, const std::string& ip, Cancellation&);
     /// Purpose of an attempt.
     enum class Purpose {
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -77,7 +77,9 @@
                 .append(entry.service.text())
                 .append(entry.dataCentre.text())
                 .append(entry.isDraining ? "d" : "r")
-                .append(std::to_string(entry.slots));
+                .append(std::to_string(entry.slots))
+                .append("@")
+                .append(std::to_string(entry.startedAtMs));
         return hashOf(text);
     }
 
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -105,6 +105,17 @@
         = [this](const std::string& ip, const PeerMessage& message) { m_follower.onAnnouncement(ip, message); };
     m_peers.onSubscription = [this](const std::string& ip) { m_follower.onSubscription(ip); };
     m_follower.onChanged = [this] { m_server.onViewChanged(); };
+    m_server.onLeaving = [this](const BackendIncarnation& incarnation) { markLeaving(incarnation); };
+    m_callers.onLeaving = m_server.onLeaving;
+}
+
+void Relay::markLeaving(const BackendIncarnation& incarnation)
+{
+    if (!m_view.markLeaving(incarnation))
+        return;
+    m_log.logStateChange("server_leaving",
+        { { "instance", incarnation.instance }, { "started_at_ms", std::to_string(incarnation.startedAtMs) } });
+    m_server.onViewChanged();
 }
 
 bool Relay::isReady() const { return !m_isStopping && m_view.routes() && !m_view.backends().empty(); }
--- a/snipeweir/relay/Relay.h
+++ b/snipeweir/relay/Relay.h
@@ -47,6 +47,8 @@
     asio::awaitable<void> watchSettings();
     asio::awaitable<void> drain();
     bool isReady() const;
+    /// Takes a backend server that says that it leaves out of this node's choice, and closes its gate if it is the own.
+    void markLeaving(const BackendIncarnation&);
     void reload();
 
     // Declared before the context: destroying the context destroys coroutines that hold bodies.
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -50,7 +50,7 @@
     Reason reason = Reason::None;
     if (!m_view.routes())
         reason = Reason::NoConfiguration;
-    else if (m_isStopping || (entry && entry->isDraining))
+    else if (m_isStopping || (entry && m_view.isLeaving(*entry)))
         reason = Reason::Draining;
     else if (!entry || entry->service != m_node.service)
         reason = Reason::NoEndpoint;
@@ -156,6 +156,7 @@
     auto run = std::make_shared<Run>();
     run->ticket = ticket.id;
     run->startedAt = m_clock.now();
+    run->incarnation = registeredIncarnation();
     if (cancellation.isCancelled() || request.deadline <= run->startedAt) {
         m_gate.onFinished(ticket.id, ServerGate::RunResult::Cancelled, {});
         advanceGate();
@@ -306,8 +307,8 @@
     }
     updateLoad(*exchange);
     const unsigned status = exchange->status();
-    if (status != 421)
-        readLeavingNotice(*exchange, request.instance);
+    if (status != 421 && run.incarnation.instance == request.instance)
+        readLeavingNotice(*exchange, run.incarnation);
 
     if (status == 421 || exchange->hasField(m_names.notRun)) {
         run.wasNotRun = true;
@@ -316,7 +317,9 @@
             ignored.clear();
         if (status == 421)
             m_instance.clear();
-        co_return Response::notRun(status == 421 ? Reason::WrongEndpoint : Reason::BackendShed, true);
+        if (status == 421)
+            co_return Response::notRun(Reason::WrongEndpoint, true);
+        co_return Response::notRun(exchange->hasField(m_names.leaving) ? Reason::Draining : Reason::BackendShed, true);
     }
     const bool isSuccess = status / 100 == 2;
     const bool claimsNotRun = status == 408 || status == 429 || status == 503;
@@ -383,12 +386,16 @@
     advanceGate();
 }
 
-void ServerPath::readLeavingNotice(const HttpExchange& exchange, const std::string& instance)
+void ServerPath::readLeavingNotice(const HttpExchange& exchange, const BackendIncarnation& incarnation)
 {
-    if (instance.empty() || instance == m_leavingInstance || !exchange.hasField(m_names.leaving))
-        return;
-    m_leavingInstance = instance;
-    m_log.logStateChange("server_leaving", { { "instance", instance } });
+    if (exchange.hasField(m_names.leaving))
+        onLeaving(incarnation);
+}
+
+BackendIncarnation ServerPath::registeredIncarnation() const
+{
+    const BackendEntry* entry = m_view.findByAddress(m_node.backendAddress);
+    return entry ? entry->incarnation() : BackendIncarnation();
 }
 
 asio::awaitable<void> ServerPath::watchHealth()
@@ -427,6 +434,7 @@
     }
     HttpExchange exchange(m_pool, std::move(connection));
     ++m_counters.healthChecks;
+    const BackendIncarnation registered = registeredIncarnation();
     std::string head = "GET " + policy().healthPath + " HTTP/1.1\r\n";
     appendField(head, "Host", m_node.backendAddress.text());
     head.append("\r\n");
@@ -435,7 +443,8 @@
         co_return false;
     updateLoad(exchange);
     const std::string instance(exchange.field(m_names.instance));
-    readLeavingNotice(exchange, instance);
+    if (!instance.empty() && instance == registered.instance)
+        readLeavingNotice(exchange, registered);
     const auto cold = parseUnsigned(exchange.field(m_names.coldRemaining));
     const bool isHealthy = exchange.status() == 200;
     std::string body;
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -63,6 +63,9 @@
     /// @return The load reported to other nodes.
     NodeLoad load() const;
 
+    /// Called when a response says that the backend server leaves, at most once for each response.
+    std::function<void(const BackendIncarnation&)> onLeaving;
+
     const Counters& counters() const { return m_counters; }
     uint64_t openedConnections() const { return m_pool.opened(); }
 
@@ -81,6 +84,8 @@
     struct Run {
         uint64_t ticket = 0;
         SteadyTime startedAt;
+        /// Incarnation that was registered when the request was sent.
+        BackendIncarnation incarnation;
         bool isCancelled = false;
         bool hasFailed = false;
         bool wasNotRun = false;
@@ -92,9 +97,11 @@
     asio::awaitable<Response> readResponse(const RelayRequest&, const std::shared_ptr<HttpExchange>&, Run&);
     std::string requestHead(const RelayRequest&) const;
     void updateLoad(HttpExchange&);
-    /// Reads from a response whether the server leaves.
-    /// @param instance Instance that sent the response; empty if it is not known.
-    void readLeavingNotice(const HttpExchange&, const std::string& instance);
+    /// Closes the gate if the response says that the server leaves.
+    /// @param incarnation Incarnation that sent the response.
+    void readLeavingNotice(const HttpExchange&, const BackendIncarnation& incarnation);
+    /// @return The registered incarnation of the server beside this node; empty if it is not registered.
+    BackendIncarnation registeredIncarnation() const;
     /// Detects a suspension of this process or VM.
     /// @param late Time from the expiry of a timer until its handler ran.
     void handleSuspension(std::chrono::nanoseconds late);
@@ -129,8 +136,6 @@
     /// Instance named in the last response to a health check; empty since the server became unreachable or
     /// responded with status 421.
     std::string m_instance;
-    /// Last instance that said in a response that it leaves.
-    std::string m_leavingInstance;
     SteadyTime m_loadAt {};
     bool m_isStopping = false;
     bool m_isServerUnreachable = false;
--- a/tests/fleet/FleetViewTests.cpp
+++ b/tests/fleet/FleetViewTests.cpp
@@ -71,6 +71,43 @@
     CHECK(view.usable(ServiceName("scans")).empty());
 }
 
+TEST_CASE(
+    "A server that said that it leaves is used again through an older entry, a new revision or a reappearing entry")
+{
+    ManualClock clock;
+    FleetView view(clock);
+    const ServiceName service("scans");
+    view.updateBackends({ Revision { 1 }, { entry("x", "10.0.0.1", 7), entry("y", "10.0.0.2", 7) } }, false);
+    CHECK(view.markLeaving({ "x", 7 }));
+    CHECK_FALSE(view.markLeaving({ "x", 7 }));
+    CHECK(view.usable(service).size() == 1);
+    view.updateBackends({ Revision { 2 }, { entry("x", "10.0.0.1", 7), entry("y", "10.0.0.2", 7) } }, false);
+    CHECK(view.usable(service).size() == 1);
+    view.updateBackends({ Revision { 3 }, {} }, false);
+    view.updateBackends({ Revision { 4 }, { entry("x", "10.0.0.1", 7) } }, false);
+    CHECK(view.usable(service).empty());
+    CHECK(view.isLeaving(*view.findByAddress({ "10.0.0.1", 80 })));
+}
+
+TEST_CASE("A server that started anew under its instance stays out of use because its last incarnation left")
+{
+    ManualClock clock;
+    FleetView view(clock);
+    view.updateBackends({ Revision { 1 }, { entry("x", "10.0.0.1", 7) } }, false);
+    view.markLeaving({ "x", 7 });
+    view.updateBackends({ Revision { 2 }, { entry("x", "10.0.0.1", 8) } }, false);
+    CHECK(view.usable(ServiceName("scans")).size() == 1);
+}
+
+TEST_CASE("Incarnations that leave are remembered without bound")
+{
+    LeavingBackends leaving;
+    for (uint64_t number = 0; number <= LeavingBackends::maxCount; ++number)
+        CHECK(leaving.add({ "x", number }));
+    CHECK_FALSE(leaving.contains({ "x", 0 }));
+    CHECK(leaving.contains({ "x", LeavingBackends::maxCount }));
+}
+
 TEST_CASE("Of several entries with one address only the newest start counts")
 {
     ManualClock clock;
--- a/tests/relay/test_leaving_servers.py
+++ b/tests/relay/test_leaving_servers.py
@@ -34,7 +34,7 @@
 
     async def pass_on_a_notice(self, node):
         """Sends requests from the node until it has passed on a response that says that the server leaves."""
-        self.leaving.backend.service_time = 0.3  # Requests still run at the server when it begins to leave.
+        self.leaving.backend.service_time = 0.2  # Shorter than the time to a hedge, which would win.
         sends = asyncio.ensure_future(self.burst([node], 12))
         await asyncio.sleep(0.1)
         self.leaving.backend.is_leaving = True
