Keep missing entries for a time from the end of the outage, not from their removal

What callers saw: a backend server whose entry was removed got requests up to 3.4 s later, with the store calm for 3 s and no fault since; such a server exits soon after 2 s and the requests are lost. Cause: entries may lapse in an outage of the store and are renewed within about 2 s of its return, so missing ones were kept for 2.2 s. The 2.2 s ran from the removal of each entry if that came up to 3 s after the node had noticed the end of the outage, which a back-off delays by up to 1.6 s. An entry that was there after the outage and is removed later did not lapse, its server left. Besides, the end of the 2.2 s was noticed only at the node's next turn to read, up to 1.75 s later. Fix: FleetView takes the time of the outage's end and keeps missing entries until 2.2 s after it; followBackends() wakes at that time. Entries that lapsed are kept as long as before.

--- a/snipeweir/fleet/FleetView.cpp
+++ b/snipeweir/fleet/FleetView.cpp
@@ -4,7 +4,7 @@
 
 namespace snipeweir {
 
-bool FleetView::updateBackends(BackendList list, bool wasSourceUnavailable)
+bool FleetView::updateBackends(BackendList list, SteadyTime lastOutageEnd)
 {
     if (list.revision < m_backends.revision)
         return false;
@@ -21,9 +21,8 @@
         if (isPresent)
             continue;
         const auto known = m_missingEntryExpiry.find(entry.instance);
-        if (known == m_missingEntryExpiry.end() && !wasSourceUnavailable)
-            continue;
-        const SteadyTime expiry = known == m_missingEntryExpiry.end() ? now + missingEntryGrace : known->second;
+        const SteadyTime expiry
+            = known == m_missingEntryExpiry.end() ? lastOutageEnd + missingEntryGrace : known->second;
         if (expiry <= now)
             continue;
         missingEntryExpiry.emplace(entry.instance, expiry);
@@ -82,6 +81,14 @@
     return isChanged;
 }
 
+std::optional<SteadyTime> FleetView::nextExpiry() const
+{
+    std::optional<SteadyTime> next;
+    for (const auto& [instance, expiry] : m_missingEntryExpiry)
+        next = next ? std::min(*next, expiry) : expiry;
+    return next;
+}
+
 void FleetView::rebuildIndexes()
 {
     m_newestByAddress.clear();
--- a/snipeweir/fleet/FleetView.h
+++ b/snipeweir/fleet/FleetView.h
@@ -30,8 +30,8 @@
 /// with an older revision than the current one, so that the view never goes back. Not safe for concurrent use.
 class FleetView {
 public:
-    /// Time for which missing entries are kept after an outage. Registrations that expired while the source was
-    /// unavailable are renewed within about two seconds of its return.
+    /// Time from the end of an outage for which missing entries are kept. Registrations that expired while the source
+    /// was unavailable are renewed within about two seconds of its return.
     static constexpr std::chrono::milliseconds missingEntryGrace { 2200 };
 
     explicit FleetView(const Clock& clock)
@@ -39,10 +39,10 @@
     {
     }
 
-    /// @param wasSourceUnavailable Whether the source was unavailable shortly before. Missing entries are then kept for
-    /// missingEntryGrace.
+    /// @param lastOutageEnd Time at which the source was back after its last outage; the epoch if it had none. Missing
+    /// entries are kept until missingEntryGrace later.
     /// @return Whether the backend servers changed.
-    bool updateBackends(BackendList, bool wasSourceUnavailable);
+    bool updateBackends(BackendList, SteadyTime lastOutageEnd);
 
     /// @return Whether the routes or the evacuated data centres changed.
     bool updateOperatorState(const OperatorState&);
@@ -51,6 +51,9 @@
     /// @return Whether an entry was removed.
     bool expireMissing();
 
+    /// @return Time of the next removal by expireMissing(); empty if no entry is missing.
+    std::optional<SteadyTime> nextExpiry() const;
+
     const std::vector<BackendEntry>& backends() const { return m_backends.entries; }
     Revision backendRevision() const { return m_backends.revision; }
     Revision operatorRevision() const { return m_operatorRevision; }
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -16,8 +16,6 @@
     /// Minimum gap between updates of the view that counts as an outage: the source drops the entry of a backend server
     /// only after several seconds without a heartbeat, so no entry expires in a shorter gap.
     constexpr std::chrono::milliseconds minOutage { 2500 };
-    /// Time after an outage in which entries of running backend servers may be missing from the source.
-    constexpr std::chrono::milliseconds outageRecoveryTime { 3000 };
     /// A node that has read the source within this time also watches the operators' documents.
     constexpr std::chrono::milliseconds readerWindow { 1500 };
     /// Duration of one watch; bounds the delay of a change that the watch misses.
@@ -98,6 +96,7 @@
     , m_pollSchedule(SourcePollSchedule::Settings())
     , m_tree(DistributionTree::Settings())
     , m_incarnation(incarnation)
+    , m_backendsTimer(executor)
     , m_operatorTimer(executor)
 {
     updateRank();
@@ -115,8 +114,6 @@
 
 bool FleetFollower::isReader() const { return m_clock.now() - m_readAt < readerWindow; }
 
-bool FleetFollower::isAfterOutage() const { return m_clock.now() - m_outageEndAt < outageRecoveryTime; }
-
 void FleetFollower::markViewCurrent(SteadyTime asOf)
 {
     if (m_pollSchedule.lastCurrentAt() != SteadyTime {} && asOf - m_pollSchedule.lastCurrentAt() > minOutage)
@@ -149,10 +146,12 @@
     }
     BackendList list = m_source.decodeBackends(document);
     list.revision = document.revision;
-    const bool isChanged = m_view.updateBackends(std::move(list), isAfterOutage());
+    const bool isChanged = m_view.updateBackends(std::move(list), m_outageEndAt);
     m_backends = std::move(document);
     m_compressedBackends.clear();
     m_backendsVersion = { m_backends.revision.value, digestOf(m_view) };
+    if (m_view.nextExpiry())
+        m_backendsTimer.cancel();
     if (!isChanged)
         return;
     m_log.logStateChange("backends_changed",
@@ -403,7 +402,6 @@
 
 asio::awaitable<void> FleetFollower::followBackends()
 {
-    Timer timer(m_executor);
     for (;;) {
         if (m_view.expireMissing()) {
             m_backendsVersion.digest = digestOf(m_view);
@@ -412,8 +410,9 @@
         }
         const SteadyTime next = m_pollSchedule.nextRead();
         if (next > m_clock.now()) {
-            timer.expires_at(next);
-            co_await timer.async_wait(asTuple);
+            const std::optional<SteadyTime> expiry = m_view.nextExpiry();
+            m_backendsTimer.expires_at(expiry ? std::min(next, *expiry) : next);
+            co_await m_backendsTimer.async_wait(asTuple);
             continue;
         }
         co_await readBackends();
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -75,7 +75,6 @@
     bool recordIfNewer(const PeerMessage&);
     /// @return Whether this node has read the source within readerWindow.
     bool isReader() const;
-    bool isAfterOutage() const;
     /// Fetches a document of at least the version's revision. Requests it from this node's source in the tree,
     /// then from the announcer, then from the node that forwarded the announcement.
     asio::awaitable<void> fetch(std::string announcer, std::string forwarder, SourceDocumentVersion, bool isBackends);
@@ -124,6 +123,8 @@
     SteadyTime m_fullReadAt {};
     bool m_isFetchingBackends = false;
     bool m_isFetchingOperators = false;
+    /// Wakes followBackends() at the next read or removal of a missing entry.
+    Timer m_backendsTimer;
     Timer m_operatorTimer;
 };
 
--- a/tests/fleet/FleetViewTests.cpp
+++ b/tests/fleet/FleetViewTests.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr SteadyTime noOutage {};
+
 BackendEntry entry(const std::string& instance, const std::string& ip, uint64_t startedAtMs = 1)
 {
     BackendEntry result;
@@ -32,8 +34,8 @@
 {
     ManualClock clock;
     FleetView view(clock);
-    CHECK(view.updateBackends({ Revision { 5 }, { entry("x", "10.0.0.1") } }, false));
-    CHECK_FALSE(view.updateBackends({ Revision { 4 }, {} }, false));
+    CHECK(view.updateBackends({ Revision { 5 }, { entry("x", "10.0.0.1") } }, noOutage));
+    CHECK_FALSE(view.updateBackends({ Revision { 4 }, {} }, noOutage));
     CHECK(view.backends().size() == 1);
 }
 
@@ -50,8 +52,8 @@
 {
     ManualClock clock;
     FleetView view(clock);
-    view.updateBackends({ Revision { 1 }, { entry("x", "10.0.0.1"), entry("y", "10.0.0.2") } }, false);
-    view.updateBackends({ Revision { 2 }, { entry("y", "10.0.0.2") } }, false);
+    view.updateBackends({ Revision { 1 }, { entry("x", "10.0.0.1"), entry("y", "10.0.0.2") } }, noOutage);
+    view.updateBackends({ Revision { 2 }, { entry("y", "10.0.0.2") } }, noOutage);
     CHECK(view.usable(ServiceName("scans")).size() == 1);
 }
 
@@ -59,12 +61,13 @@
 {
     ManualClock clock;
     FleetView view(clock);
-    view.updateBackends({ Revision { 1 }, { entry("x", "10.0.0.1") } }, false);
-    view.updateBackends({ Revision { 2 }, {} }, true);
+    view.updateBackends({ Revision { 1 }, { entry("x", "10.0.0.1") } }, noOutage);
+    const SteadyTime outageEnd = clock.now();
+    view.updateBackends({ Revision { 2 }, {} }, outageEnd);
     CHECK(view.usable(ServiceName("scans")).size() == 1);
     // Later lists, received without an outage, don't extend the grace period.
     clock.advance(FleetView::missingEntryGrace - 10ms);
-    view.updateBackends({ Revision { 3 }, {} }, false);
+    view.updateBackends({ Revision { 3 }, {} }, noOutage);
     CHECK(view.usable(ServiceName("scans")).size() == 1);
     clock.advance(20ms);
     CHECK(view.expireMissing());
@@ -77,14 +80,14 @@
     ManualClock clock;
     FleetView view(clock);
     const ServiceName service("scans");
-    view.updateBackends({ Revision { 1 }, { entry("x", "10.0.0.1", 7), entry("y", "10.0.0.2", 7) } }, false);
+    view.updateBackends({ Revision { 1 }, { entry("x", "10.0.0.1", 7), entry("y", "10.0.0.2", 7) } }, noOutage);
     CHECK(view.markLeaving({ "x", 7 }));
     CHECK_FALSE(view.markLeaving({ "x", 7 }));
     CHECK(view.usable(service).size() == 1);
-    view.updateBackends({ Revision { 2 }, { entry("x", "10.0.0.1", 7), entry("y", "10.0.0.2", 7) } }, false);
+    view.updateBackends({ Revision { 2 }, { entry("x", "10.0.0.1", 7), entry("y", "10.0.0.2", 7) } }, noOutage);
     CHECK(view.usable(service).size() == 1);
-    view.updateBackends({ Revision { 3 }, {} }, false);
-    view.updateBackends({ Revision { 4 }, { entry("x", "10.0.0.1", 7) } }, false);
+    view.updateBackends({ Revision { 3 }, {} }, noOutage);
+    view.updateBackends({ Revision { 4 }, { entry("x", "10.0.0.1", 7) } }, noOutage);
     CHECK(view.usable(service).empty());
     CHECK(view.isLeaving(*view.findByAddress({ "10.0.0.1", 80 })));
 }
@@ -93,9 +96,9 @@
 {
     ManualClock clock;
     FleetView view(clock);
-    view.updateBackends({ Revision { 1 }, { entry("x", "10.0.0.1", 7) } }, false);
+    view.updateBackends({ Revision { 1 }, { entry("x", "10.0.0.1", 7) } }, noOutage);
     view.markLeaving({ "x", 7 });
-    view.updateBackends({ Revision { 2 }, { entry("x", "10.0.0.1", 8) } }, false);
+    view.updateBackends({ Revision { 2 }, { entry("x", "10.0.0.1", 8) } }, noOutage);
     CHECK(view.usable(ServiceName("scans")).size() == 1);
 }
 
@@ -108,13 +111,31 @@
     CHECK(leaving.contains({ "x", LeavingBackends::maxCount }));
 }
 
+TEST_CASE("A server that leaves after the source is back is kept as if its entry had expired in the outage")
+{
+    ManualClock clock;
+    FleetView view(clock);
+    view.updateBackends({ Revision { 1 }, { entry("x", "10.0.0.1"), entry("y", "10.0.0.2") } }, noOutage);
+    const SteadyTime outageEnd = clock.now();
+    clock.advance(1500ms);
+    view.updateBackends({ Revision { 2 }, { entry("x", "10.0.0.1") } }, outageEnd);
+    CHECK(view.nextExpiry() == outageEnd + FleetView::missingEntryGrace);
+    clock.advance(FleetView::missingEntryGrace - 1500ms);
+    CHECK(view.expireMissing());
+    CHECK(view.backends().size() == 1);
+    clock.advance(100ms);
+    view.updateBackends({ Revision { 3 }, {} }, outageEnd);
+    CHECK(view.backends().empty());
+    CHECK_FALSE(view.nextExpiry());
+}
+
 TEST_CASE("Of several entries with one address only the newest start counts")
 {
     ManualClock clock;
     FleetView view(clock);
     BackendEntry reused = entry("new", "10.0.0.1", 9);
     reused.service = ServiceName("records");
-    view.updateBackends({ Revision { 1 }, { entry("old", "10.0.0.1", 3), reused } }, false);
+    view.updateBackends({ Revision { 1 }, { entry("old", "10.0.0.1", 3), reused } }, noOutage);
     CHECK(view.usable(ServiceName("scans")).empty());
     REQUIRE(view.usable(ServiceName("records")).size() == 1);
     CHECK(view.findByAddress({ "10.0.0.1", 80 })->instance == "new");
@@ -128,7 +149,7 @@
     draining.isDraining = true;
     BackendEntry other = entry("z", "10.0.0.3");
     other.dataCentre = DataCentreName("b");
-    view.updateBackends({ Revision { 1 }, { draining, entry("y", "10.0.0.2"), other } }, false);
+    view.updateBackends({ Revision { 1 }, { draining, entry("y", "10.0.0.2"), other } }, noOutage);
     view.updateOperatorState(state(1, 1, { DataCentreName("b") }));
     REQUIRE(view.usable(ServiceName("scans")).size() == 1);
     CHECK(view.usable(ServiceName("scans"))[0]->instance == "y");
--- a/tests/relay/test_leaving_servers.py
+++ b/tests/relay/test_leaving_servers.py
@@ -76,6 +76,14 @@
         await asyncio.sleep(1)
         await self.assert_no_arrivals_after_drain([self.caller])
 
+    async def test_requests_reach_a_server_whose_entry_was_removed_after_an_outage_of_the_store(self):
+        self.fleet.store.mode = "refuse"
+        await asyncio.sleep(4.6)
+        self.fleet.store.mode = "ok"
+        await asyncio.sleep(3)
+        self.fleet.store.remove(f"servers/{self.leaving.backend.instance}")
+        await self.assert_no_arrivals_after_drain(self.fleet.nodes)
+
     async def test_a_server_that_started_anew_under_its_instance_stays_avoided(self):
         await self.pass_on_a_notice(self.caller)
         self.leaving.backend.is_leaving = False
