Take the age of a fetched document from its announcement

What callers saw: nothing traced to this yet; a change of the backend servers may take up to the age of an announcement longer. Cause: a node reads the store itself once its view is older than 0.7 to 1.75 s, which bounds every delay of announcements and fetches. After a fetch it counted its view as current at the start of the fetch, although the announcer had read the document earlier by the age in the announcement, and so put off its own read by that age. Fix: fetch() gets the time at which the announcer's view was current. The port of the metrics in tests/relay/fleet.py was wrong and unused; it is the product's default now.

--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -311,22 +311,22 @@
         = message.backends.revision > m_backendsVersion.revision && message.backends.digest != m_backendsVersion.digest;
     const bool needsOperators = message.operators.revision > m_operatorsVersion.revision
         && message.operators.digest != m_operatorsVersion.digest;
+    const SteadyTime readAt = m_clock.now() - message.age;
     if (!needsBackends && message.backends.revision >= m_backendsVersion.revision)
-        markViewCurrent(m_clock.now() - message.age);
+        markViewCurrent(readAt);
     if (needsBackends && !m_isFetchingBackends) {
         m_isFetchingBackends = true;
-        asio::co_spawn(m_executor, fetch(message.announcer, ip, message.backends, true), asio::detached);
+        asio::co_spawn(m_executor, fetch(message.announcer, ip, message.backends, readAt, true), asio::detached);
     }
     if (needsOperators && !m_isFetchingOperators) {
         m_isFetchingOperators = true;
-        asio::co_spawn(m_executor, fetch(message.announcer, ip, message.operators, false), asio::detached);
+        asio::co_spawn(m_executor, fetch(message.announcer, ip, message.operators, readAt, false), asio::detached);
     }
 }
 
-asio::awaitable<void> FleetFollower::fetch(
-    std::string announcer, std::string forwarder, SourceDocumentVersion version, bool isBackends)
+asio::awaitable<void> FleetFollower::fetch(std::string announcer, std::string forwarder, SourceDocumentVersion version,
+    SteadyTime backendsReadAt, bool isBackends)
 {
-    const SteadyTime asOf = m_clock.now();
     ++m_counters.fetches;
     const std::string_view path = isBackends ? backendsPath : operatorsPath;
     const DistributionTree::Source source = m_tree.documentSource(announcer, m_node.peersAddress.ip);
@@ -360,7 +360,7 @@
     if (!fetched.document)
         co_return;
     if (isBackends) {
-        markViewCurrent(asOf);
+        markViewCurrent(backendsReadAt);
         applyBackends(std::move(*fetched.document));
     } else {
         applyOperators(std::move(*fetched.document));
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -77,7 +77,9 @@
     bool isReader() const;
     /// Fetches a document of at least the version's revision. Requests it from this node's source in the tree,
     /// then from the announcer, then from the node that forwarded the announcement.
-    asio::awaitable<void> fetch(std::string announcer, std::string forwarder, SourceDocumentVersion, bool isBackends);
+    /// @param backendsReadAt Time at which the announcer's view of the backend servers was up to date.
+    asio::awaitable<void> fetch(std::string announcer, std::string forwarder, SourceDocumentVersion,
+        SteadyTime backendsReadAt, bool isBackends);
     struct FetchResult {
         /// Whether the node sent a response, whatever its status.
         bool isReachable = false;
--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -9,7 +9,7 @@
 import signal
 import time
 
-PORTS = {"callers": 7304, "peers": 7300, "ready": 7302, "backend": 7301, "query": 7620, "metrics": 7702}
+PORTS = {"callers": 7304, "peers": 7300, "ready": 7302, "backend": 7301, "query": 7620, "metrics": 9102}
 BOUNDS = ["retryBudgetRatio=0.2", "retryBudgetExtra=64", "budgetWindow=10s", "grace=6s"]
 
 
@@ -301,6 +301,54 @@
             return False
 
 
+def cbor_item(value):
+    """Encodes an unsigned number, a text or a byte string."""
+    major, number = (0, value) if isinstance(value, int) else (3 if isinstance(value, str) else 2, len(value))
+    head = bytes([major << 5 | 27]) + number.to_bytes(8, "big")
+    return head if isinstance(value, int) else head + (value.encode() if isinstance(value, str) else value)
+
+
+def zstd_frame(text):
+    """Returns a zstd frame that holds the text uncompressed, in one block."""
+    assert len(text) < 128 << 10
+    return (b"\x28\xb5\x2f\xfd\xa0" + len(text).to_bytes(4, "little") + (len(text) << 3 | 1).to_bytes(3, "little")
+            + text)
+
+
+class Announcer:
+    """Simulates a node that announces the backend entries of the store and lets other nodes fetch them."""
+
+    def __init__(self, ip, store):
+        self.ip, self.store, self.sequence = ip, store, 0
+        self.revision, self.document = 0, b""
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.ip, PORTS["peers"])
+        self.socket, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            asyncio.DatagramProtocol, (self.ip, PORTS["query"]))
+
+    async def stop(self):
+        self.server.close()
+        self.socket.close()
+
+    def read(self):
+        self.revision = self.store.revision
+        self.document = b"".join(cbor_item(key.encode()) + cbor_item(value)
+                                 for key, (value, _) in self.store.items.items() if key.startswith("servers/"))
+
+    def announce(self, node, age_ms):
+        self.sequence += 1
+        message = [3, self.revision, hash(self.document) & 0xffffffff, 0, 0, age_ms, self.ip, 1, self.sequence, 0, 0]
+        self.socket.sendto(b"".join(cbor_item(item) for item in message), (node.ip, PORTS["query"]))
+
+    async def serve(self, reader, writer):
+        while await read_head(reader):
+            body = zstd_frame(self.document)
+            writer.write(f"HTTP/1.1 200 OK\r\nSnipeweir-Revision: {self.revision}\r\n"
+                         f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        writer.close()
+
+
 class Fleet:
     """Nodes 0..n-1 with their backend servers, alternating between the zones a and b."""
 
@@ -370,6 +418,12 @@
         self.next_id += 1
         return f"id{self.next_id:08d}"
 
+    async def metric(self, node, name):
+        """Returns the value of a metric without labels."""
+        response = await self.send(node, "GET", "/metrics", port=PORTS["metrics"])
+        values = dict(line.rsplit(" ", 1) for line in response.body.decode().splitlines() if " " in line)
+        return float(values[name])
+
     async def send(self, node, method, path, deadline=2000, request_id=None, fields="", disconnect_after=None,
                    port=None, body=b""):
         """Returns a Response, or None if the connection ended before the end of the head or the client disconnected."""
--- a/tests/relay/test_rules.py
+++ b/tests/relay/test_rules.py
@@ -11,7 +11,7 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from fleet import Fleet, PORTS  # noqa: E402
+from fleet import Announcer, Fleet, PORTS  # noqa: E402
 
 PROGRAM = sys.argv.pop(1) if len(sys.argv) > 1 else "build/bin/snipeweir-platform"
 
@@ -324,6 +324,23 @@
         await asyncio.sleep(2)
         self.assertEqual((await self.fleet.send(node, "GET", "/n/x")).status, 200)
 
+    async def test_a_fetched_document_does_not_count_as_newer_than_its_announcer_read_it(self):
+        node = self.fleet.nodes[2]
+        announcer = Announcer(f"{self.fleet.subnet}.0.100", self.fleet.store)
+        await announcer.start()
+        for other in self.fleet.nodes:
+            other.store_proxy.set_mode("reset")
+        await asyncio.sleep(1)
+        self.fleet.store.remove(f"servers/{self.fleet.nodes[0].backend.instance}")
+        announcer.read()
+        announcer.announce(node, 900)
+        await asyncio.sleep(0.2)
+        backends = await self.fleet.metric(node, "snipeweir_backends")
+        age = await self.fleet.metric(node, "snipeweir_view_age_milliseconds")
+        await announcer.stop()
+        self.assertEqual(backends, 3)
+        self.assertGreaterEqual(age, 900)
+
     async def test_requests_are_served_after_all_nodes_restart_at_once(self):
         await asyncio.gather(*(node.kill() for node in self.fleet.nodes))
         for node in self.fleet.nodes:
