Notice a suspension that falls into a health check

What callers saw: after a suspension of its node a server that may have restarted was sent requests at the warm rate until the next health check. Cause: the lateness of the timer between two health checks was the only sign of a suspension; one that began during a check went unnoticed. Fix: a check that lasts 1 s or more, more than twice its time limit, counts as a suspension.

--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -415,7 +415,10 @@
         handleSuspension(m_clock.now() - wakeAt);
         if (!m_view.routes() || m_isStopping)
             continue;
+        const SteadyTime checkedAt = m_clock.now();
         const bool isHealthy = co_await checkHealth();
+        // The check's own time limit is shorter than any suspension that counts.
+        handleSuspension(m_clock.now() - checkedAt);
         if (isHealthy != wasHealthy)
             m_log.logStateChange(
                 "server_health", { { "healthy", isHealthy ? "true" : "false" }, { "instance", m_instance } });
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -103,7 +103,7 @@
     /// @return The registered incarnation of the server beside this node; empty if it is not registered.
     BackendIncarnation registeredIncarnation() const;
     /// Detects a suspension of this process or VM.
-    /// @param late Time from the expiry of a timer until its handler ran.
+    /// @param late Time from the expiry of a timer until its handler ran, or the duration of a health check.
     void handleSuspension(std::chrono::nanoseconds late);
     /// Records that no connection to the server could be opened. It may be cold when it is back.
     void markServerUnreachable();
--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -169,6 +169,7 @@
         self.health_checks = 0
         self.is_leaving = False  # Whether all responses say that the server leaves.
         self.is_health_silent = False  # Whether health checks get no response.
+        self.health_delay = 0.0  # Seconds until a health check gets its response.
         self.body = b"x" * 300
         self.echoes_request_id = False  # Whether the response's body contains the request's id.
 
@@ -197,6 +198,7 @@
                     if self.is_health_silent:
                         await reader.read()
                         return
+                    await asyncio.sleep(self.health_delay)
                     cold = max(0, int((self.cold_until - time.monotonic()) * 1000))
                     extra = f"Cold-Ms: {cold}\r\n" if cold else ""
                     status = "503 X" if self.is_leaving else "200 OK"
--- a/tests/relay/test_rules.py
+++ b/tests/relay/test_rules.py
@@ -379,6 +379,21 @@
         with open(os.path.join(self.folder.name, "node-0.log")) as log:
             self.assertEqual(log.read().count('"event":"suspended"'), 1)
 
+    async def test_a_suspension_during_a_health_check_is_noticed(self):
+        suspended = self.fleet.nodes[:3]
+        for node in suspended:
+            node.backend.health_delay = 0.3  # Most of the time a health check is under way.
+        await asyncio.sleep(0.5)
+        for node in suspended:
+            node.signal(signal.SIGSTOP)
+        await asyncio.sleep(2)
+        for node in suspended:
+            node.signal(signal.SIGCONT)
+        await asyncio.sleep(1)
+        for node in suspended:
+            with open(os.path.join(self.folder.name, f"node-{node.index}.log")) as log:
+                self.assertEqual(log.read().count('"event":"suspended"'), 1)
+
 
 class LargeFleetTest(FleetTest):
     """Tests a fleet with more nodes than fetch a document from the announcer, so that the tree has several levels."""
