Add a failing test of requests beyond the rate limit that a server names

What callers saw: a server in need, which names in its responses the requests per second that it takes (Server-Limit), got far more, and its callers waited or failed.

--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -168,6 +168,7 @@
         self.aborted_runs = []  # (time, id) of runs whose connection the node closed
         self.health_checks = 0
         self.is_leaving = False  # Whether all responses say that the server leaves.
+        self.rate_limit = None  # Requests per second that all responses name as the most that the server takes.
         self.is_health_silent = False  # Whether health checks get no response.
         self.health_delay = 0.0  # Seconds until a health check gets its response.
         self.body = b"x" * 300
@@ -186,7 +187,8 @@
 
     def notices(self):
         """Returns the header lines in which all responses say what the server needs."""
-        return "Server-Leaving: 1\r\n" if self.is_leaving else ""
+        leaving = "Server-Leaving: 1\r\n" if self.is_leaving else ""
+        return leaving + (f"Server-Limit: {self.rate_limit}\r\n" if self.rate_limit is not None else "")
 
     async def serve(self, reader, writer):
         try:
