Move TokenBucket to core and name the start rate in NodeLoad by what it limits

Cause: a rate limit that a server names needs the same bucket, and the same two figures in load replies, as a cold server. Change: names and places only; coldTokens and coldInterval are startTokens and startInterval. The datagrams are the same.

--- a/snipeweir/admission/ServerGate.cpp
+++ b/snipeweir/admission/ServerGate.cpp
@@ -218,8 +218,8 @@
     load.meanServiceTime
         = std::chrono::microseconds(static_cast<int64_t>(m_meanNominalServiceUs * m_slownessPercent / 100));
     load.failurePercent = static_cast<uint32_t>(std::lround(failureRate() * 100));
-    load.coldInterval = std::chrono::microseconds(static_cast<int64_t>(1e6 / coldRate()));
-    load.coldTokens = isCold() ? static_cast<uint32_t>(availableColdTokens()) : NodeLoad::unlimitedColdTokens;
+    load.startInterval = std::chrono::microseconds(static_cast<int64_t>(1e6 / coldRate()));
+    load.startTokens = isCold() ? static_cast<uint32_t>(availableColdTokens()) : NodeLoad::unlimitedStartTokens;
     return load;
 }
 
--- a/snipeweir/distribution/TokenBucket.h
+++ b/snipeweir/core/TokenBucket.h
@@ -7,7 +7,7 @@
 namespace snipeweir {
 
 /// Token bucket. Limits, for example, the bytes that a node sends to serve documents to peers and the rate of a
-/// reader's platform reads. Owned by the control thread.
+/// reader's platform reads. For one thread.
 class TokenBucket {
 public:
     /// @param ratePerSecond Tokens added per second.
--- a/snipeweir/distribution/Distributor.h
+++ b/snipeweir/distribution/Distributor.h
@@ -5,7 +5,7 @@
 #include "snipeweir/distribution/CatchUp.h"
 #include "snipeweir/distribution/DocumentFetch.h"
 #include "snipeweir/distribution/FrameCache.h"
-#include "snipeweir/distribution/TokenBucket.h"
+#include "snipeweir/core/TokenBucket.h"
 
 #include <deque>
 
--- a/snipeweir/distribution/FrameCache.h
+++ b/snipeweir/distribution/FrameCache.h
@@ -2,7 +2,7 @@
 
 #include "snipeweir/distribution/DocumentMessages.h"
 #include "snipeweir/distribution/DocumentStore.h"
-#include "snipeweir/distribution/TokenBucket.h"
+#include "snipeweir/core/TokenBucket.h"
 
 #include <deque>
 
--- a/snipeweir/placing/NodeLoad.h
+++ b/snipeweir/placing/NodeLoad.h
@@ -25,12 +25,13 @@
     std::chrono::microseconds meanServiceTime { 0 };
     /// Share of the recent requests that failed.
     uint32_t failurePercent = 0;
-    /// Requests that a cold backend server may start immediately; unlimitedColdTokens if it is warm.
-    uint32_t coldTokens = unlimitedColdTokens;
-    /// Interval at which a cold backend server may start one more request.
-    std::chrono::microseconds coldInterval { 0 };
+    /// Requests that a backend server with a limited rate, because it is cold or names a rate limit, may start
+    /// immediately; unlimitedStartTokens if its rate is not limited.
+    uint32_t startTokens = unlimitedStartTokens;
+    /// Interval at which a backend server with a limited rate may start one more request.
+    std::chrono::microseconds startInterval { 0 };
 
-    static constexpr uint32_t unlimitedColdTokens = 1000;
+    static constexpr uint32_t unlimitedStartTokens = 1000;
     /// Typical duration of a slowdown by noisy neighbours on the same host.
     static constexpr std::chrono::milliseconds typicalSlowdownDuration { 300 };
 
--- a/snipeweir/placing/Placement.cpp
+++ b/snipeweir/placing/Placement.cpp
@@ -14,7 +14,7 @@
     const double freshness = std::exp2(-age / halfLife);
     const double slowness
         = (load.slownessPercent * freshness + m_settings.defaultSlownessPercent * (1 - freshness)) / 100.0;
-    const bool isCold = load.coldTokens < NodeLoad::unlimitedColdTokens;
+    const bool isCold = load.startTokens < NodeLoad::unlimitedStartTokens;
 
     const auto usualServiceTime = static_cast<double>(profile.usualServiceTime.count());
     double expectedServiceTime = usualServiceTime * slowness * (isCold ? m_settings.coldFactor : 1.0);
@@ -28,8 +28,8 @@
         const double meanServiceTime = std::max(static_cast<double>(load.meanServiceTime.count()), expectedServiceTime);
         queueTime = (load.waiting + 1) * meanServiceTime / limit;
     }
-    if (load.coldTokens == 0)
-        queueTime = std::max(queueTime, (load.waiting + 1.0) * static_cast<double>(load.coldInterval.count()));
+    if (load.startTokens == 0)
+        queueTime = std::max(queueTime, (load.waiting + 1.0) * static_cast<double>(load.startInterval.count()));
     // Backend servers slow down with rising utilization, so the less utilized of two equals is preferred.
     const double utilization = std::min(1.0, load.running / limit);
     const double utilizationFactor = 1 + 0.25 * utilization * utilization;
--- a/snipeweir/relay/PeerMessage.cpp
+++ b/snipeweir/relay/PeerMessage.cpp
@@ -11,7 +11,7 @@
         writer.writeText(load.instance).writeUnsigned(load.isAccepting ? 1 : 0).writeUnsigned(load.running);
         writer.writeUnsigned(load.waiting).writeUnsigned(load.limit).writeUnsigned(load.slownessPercent);
         writer.writeUnsigned(static_cast<uint64_t>(load.meanServiceTime.count())).writeUnsigned(load.failurePercent);
-        writer.writeUnsigned(load.coldTokens).writeUnsigned(static_cast<uint64_t>(load.coldInterval.count()));
+        writer.writeUnsigned(load.startTokens).writeUnsigned(static_cast<uint64_t>(load.startInterval.count()));
         writer.writeUnsigned(load.isSlowdownTransient ? 1 : 0);
     }
 
@@ -27,8 +27,8 @@
         load.slownessPercent = number();
         load.meanServiceTime = std::chrono::microseconds(number());
         load.failurePercent = number();
-        load.coldTokens = number();
-        load.coldInterval = std::chrono::microseconds(number());
+        load.startTokens = number();
+        load.startInterval = std::chrono::microseconds(number());
         load.isSlowdownTransient = number() != 0;
         return load;
     }
--- a/tests/placing/PlacementTests.cpp
+++ b/tests/placing/PlacementTests.cpp
@@ -96,8 +96,8 @@
 {
     const Placement placement { Placement::Settings() };
     PlacementCandidate cold = candidate(0, 100);
-    cold.load.coldTokens = 0;
-    cold.load.coldInterval = 65ms;
+    cold.load.startTokens = 0;
+    cold.load.startInterval = 65ms;
     CHECK(placement.choose(RequestProfile(), { cold }) == 0);
     CHECK(placement.choose(RequestProfile(), { cold, candidate(5, 120) }) == 1);
 }
