Read the rate limit that a server names, and show it

Change: ServerRateLimit keeps the limit of the latest response; the event server_rate_limit and the metric snipeweir_server_rate_limit show it. No decision depends on it yet. A response without the limit ends it only if its request was sent after the last response with it; malformed values are ignored.

--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <charconv>
+#include <cmath>
 
 namespace snipeweir {
 
@@ -28,6 +29,14 @@
     return value;
 }
 
+std::optional<double> parseDecimal(std::string_view text)
+{
+    double value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    return isNumber && std::isfinite(value) && value >= 0 ? std::optional(value) : std::nullopt;
+}
+
 bool isHopByHop(std::string_view name)
 {
     static constexpr std::array<std::string_view, 9> names { "Connection", "Keep-Alive", "Proxy-Connection",
--- a/snipeweir/relay/HttpExchange.h
+++ b/snipeweir/relay/HttpExchange.h
@@ -92,4 +92,8 @@
 /// @return The decimal number that the text consists of; empty if the text is not a number.
 std::optional<uint64_t> parseUnsigned(std::string_view text);
 
+/// @return The decimal number, with or without a fraction, that the text consists of; empty if the text is not a finite
+/// number of zero or more.
+std::optional<double> parseDecimal(std::string_view text);
+
 }
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -301,7 +301,7 @@
 std::string Relay::metricsText() const
 {
     std::string text = m_metrics.text();
-    const auto add = [&](std::string_view name, uint64_t value) {
+    const auto add = [&](std::string_view name, auto value) {
         text.append("snipeweir_").append(name).append(" ").append(std::to_string(value)).append("\n");
     };
     const CallerPath::Counters& callers = m_callers.counters();
@@ -319,6 +319,8 @@
     add("server_health_checks_total", server.healthChecks);
     add("server_foreign_answers_total", server.mismatchedResponses);
     add("server_connections_total", m_server.openedConnections());
+    if (const auto rateLimit = m_server.rateLimit())
+        add("server_rate_limit", *rateLimit);
     const FleetFollower::Counters& follower = m_follower.counters();
     add("source_reads_total", follower.sourceReads);
     add("source_failures_total", follower.sourceFailures);
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -249,6 +249,7 @@
                 current->cancel();
         });
         ++m_counters.sent;
+        run->sentAt = m_clock.now();
         StepResult end = co_await exchange->send(requestHead(request), request.bodyText(), request.deadline);
         if (end == StepResult::Complete)
             end = co_await exchange->readHead(request.deadline);
@@ -307,8 +308,11 @@
     }
     updateLoad(*exchange);
     const unsigned status = exchange->status();
-    if (status != 421 && run.incarnation.instance == request.instance)
-        readLeavingNotice(*exchange, run.incarnation);
+    if (status != 421) {
+        readRateLimit(*exchange, run.sentAt);
+        if (run.incarnation.instance == request.instance)
+            readLeavingNotice(*exchange, run.incarnation);
+    }
 
     if (status == 421 || exchange->hasField(m_names.notRun)) {
         run.wasNotRun = true;
@@ -392,6 +396,18 @@
         onLeaving(incarnation);
 }
 
+void ServerPath::readRateLimit(const HttpExchange& exchange, SteadyTime sentAt)
+{
+    const auto limit = parseDecimal(exchange.field(m_names.rateLimit));
+    const bool isMalformed = !limit && exchange.hasField(m_names.rateLimit);
+    const bool wasLimited = m_rateLimit.requestsPerSecond().has_value();
+    if (isMalformed || !m_rateLimit.onResponse(limit, sentAt, m_clock.now()))
+        return;
+    if (limit.has_value() != wasLimited)
+        m_log.logStateChange("server_rate_limit",
+            { { "per_second", limit ? std::to_string(*limit) : "none" }, { "instance", m_instance } });
+}
+
 BackendIncarnation ServerPath::registeredIncarnation() const
 {
     const BackendEntry* entry = m_view.findByAddress(m_node.backendAddress);
@@ -438,6 +454,7 @@
     HttpExchange exchange(m_pool, std::move(connection));
     ++m_counters.healthChecks;
     const BackendIncarnation registered = registeredIncarnation();
+    const SteadyTime sentAt = m_clock.now();
     std::string head = "GET " + policy().healthPath + " HTTP/1.1\r\n";
     appendField(head, "Host", m_node.backendAddress.text());
     head.append("\r\n");
@@ -446,8 +463,11 @@
         co_return false;
     updateLoad(exchange);
     const std::string instance(exchange.field(m_names.instance));
-    if (!instance.empty() && instance == registered.instance)
-        readLeavingNotice(exchange, registered);
+    if (!instance.empty()) {
+        readRateLimit(exchange, sentAt);
+        if (instance == registered.instance)
+            readLeavingNotice(exchange, registered);
+    }
     const auto cold = parseUnsigned(exchange.field(m_names.coldRemaining));
     const bool isHealthy = exchange.status() == 200;
     std::string body;
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipeweir/admission/ServerGate.h"
+#include "snipeweir/admission/ServerRateLimit.h"
 #include "snipeweir/fleet/FleetView.h"
 #include "snipeweir/relay/HttpExchange.h"
 #include "snipeweir/relay/RelaySettings.h"
@@ -63,6 +64,9 @@
     /// @return The load reported to other nodes.
     NodeLoad load() const;
 
+    /// @return Requests per second that the server says it takes from all nodes; empty if it names no limit.
+    std::optional<double> rateLimit() const { return m_rateLimit.requestsPerSecond(); }
+
     /// Called when a response says that the backend server leaves, at most once for each response.
     std::function<void(const BackendIncarnation&)> onLeaving;
 
@@ -84,6 +88,8 @@
     struct Run {
         uint64_t ticket = 0;
         SteadyTime startedAt;
+        /// Time at which the request was sent to the server, for the last time if it was sent again.
+        SteadyTime sentAt;
         /// Incarnation that was registered when the request was sent.
         BackendIncarnation incarnation;
         bool isCancelled = false;
@@ -100,6 +106,9 @@
     /// Closes the gate if the response says that the server leaves.
     /// @param incarnation Incarnation that sent the response.
     void readLeavingNotice(const HttpExchange&, const BackendIncarnation& incarnation);
+    /// Reads the server's rate limit from a response.
+    /// @param sentAt Time at which the request of the response was sent.
+    void readRateLimit(const HttpExchange&, SteadyTime sentAt);
     /// @return The registered incarnation of the server beside this node; empty if it is not registered.
     BackendIncarnation registeredIncarnation() const;
     /// Detects a suspension of this process or VM.
@@ -136,6 +145,7 @@
     /// Instance named in the last response to a health check; empty since the server became unreachable or
     /// responded with status 421.
     std::string m_instance;
+    ServerRateLimit m_rateLimit;
     SteadyTime m_loadAt {};
     bool m_isStopping = false;
     bool m_isServerUnreachable = false;
--- a/snipeweir/relay/WireNames.h
+++ b/snipeweir/relay/WireNames.h
@@ -39,6 +39,9 @@
     std::string coldRemaining = "Snipeweir-Cold-For";
     /// Present in all responses of a backend server that leaves.
     std::string leaving = "Snipeweir-Leaving";
+    /// Requests per second that a backend server takes from all nodes together, a decimal number; present in all of its
+    /// responses while it has such a limit.
+    std::string rateLimit = "Snipeweir-Rate-Limit";
     std::string readyPath = "/ready";
 
     /// Parses the value of the load field; returns no value if it is malformed.
