Keep a backend server within the rate limit that it names in its responses

What callers saw: a server in need, which names the requests per second that it takes from all nodes (Server-Limit), got two and more times as many; it grew slower still, and its callers waited or failed. Cause: the limit passed through the node beside the server unread, the gate knew slots only and filled each at once. Class of fault: what a server says of itself was forwarded, not used (as with Server-Leaving). Unit tests of the gate with limits from 0.3 to 700 a second, restarts, a suspension and requests sent again. Fix: a second token bucket in ServerGate at the rate named, with a burst of one request and a quarter of a second's. All requests to a server pass the gate of the node beside it, so it holds the sum over all nodes without messages between them: nodes that join or restart, and lost datagrams, change nothing. A request sent again on a new connection is charged. What cannot start in time is refused at once with rate_limit; load replies carry the next start, so that callers' nodes choose servers with room.

--- a/snipeweir/admission/ServerGate.cpp
+++ b/snipeweir/admission/ServerGate.cpp
@@ -10,6 +10,18 @@
     // Weight of one request in the moving averages, which cover about the last ten requests.
     constexpr double sampleWeight = 0.1;
     constexpr std::chrono::seconds assumedColdTime { 3 };
+    /// Delay and interval of starts at a server whose rate limit is zero or close to it.
+    constexpr std::chrono::microseconds maxStartDelay = std::chrono::hours(1);
+
+    /// @return Time until this number of requests can have started at a rate in requests per second, rounded up.
+    std::chrono::microseconds startDelay(double requests, double perSecond)
+    {
+        constexpr std::chrono::microseconds resolution { 1 };
+        const std::chrono::duration<double> delay(std::max(0.0, requests) / perSecond);
+        if (!(delay < maxStartDelay))
+            return maxStartDelay;
+        return std::chrono::duration_cast<std::chrono::microseconds>(delay) + resolution;
+    }
 
 }
 
@@ -63,19 +75,61 @@
     return std::min(m_settings.coldBurst, m_tokens + refill);
 }
 
+void ServerGate::setRateLimit(std::optional<double> perSecond)
+{
+    if (!perSecond) {
+        m_rateLimit.reset();
+        return;
+    }
+    const SteadyTime now = m_clock.now();
+    const double capacity = 1 + *perSecond * m_settings.rateLimitBurstSeconds;
+    if (!m_rateLimit)
+        m_rateLimit.emplace(*perSecond, capacity, 0, now);
+    m_rateLimit->setRate(*perSecond, now);
+    m_rateLimit->setCapacity(capacity, now);
+}
+
+void ServerGate::onSentAgain()
+{
+    if (isCold()) {
+        m_tokens = availableColdTokens() - 1;
+        m_tokensUpdatedAt = m_clock.now();
+    }
+    if (m_rateLimit)
+        m_rateLimit->charge(1, m_clock.now());
+}
+
+double ServerGate::availableStartTokens() const
+{
+    double tokens = NodeLoad::unlimitedStartTokens;
+    if (isCold())
+        tokens = std::min(tokens, availableColdTokens());
+    if (m_rateLimit)
+        tokens = std::min(tokens, m_rateLimit->available(m_clock.now()));
+    return tokens;
+}
+
+std::chrono::microseconds ServerGate::rateLimitDelay(double requests) const
+{
+    if (!m_rateLimit)
+        return std::chrono::microseconds(0);
+    return startDelay(requests - m_rateLimit->available(m_clock.now()), m_rateLimit->rate());
+}
+
 uint32_t ServerGate::limit() const { return std::max(1U, m_slots * m_settings.usableSlotPercent / 100); }
 
 bool ServerGate::tryAcquireSlot()
 {
     if (m_running >= limit())
         return false;
+    if (availableStartTokens() < 1)
+        return false;
     if (isCold()) {
-        const double tokens = availableColdTokens();
-        if (tokens < 1)
-            return false;
-        m_tokens = tokens - 1;
+        m_tokens = availableColdTokens() - 1;
         m_tokensUpdatedAt = m_clock.now();
     }
+    if (m_rateLimit)
+        m_rateLimit->charge(1, m_clock.now());
     ++m_running;
     return true;
 }
@@ -137,7 +191,10 @@
     }
     if (isCold())
         wait = std::max(wait, queuePosition / coldRate() * 1e6);
+    const auto limitDelay = rateLimitDelay(queuePosition);
     const SteadyTime refuseAt = latestStart(request);
+    if (now + limitDelay > refuseAt)
+        return { request.id, Verdict::Refused, Reason::RateLimit };
     if (now + std::chrono::microseconds(static_cast<int64_t>(wait)) > refuseAt)
         return { request.id, Verdict::Refused, isCold() ? Reason::ColdLimit : Reason::QueueFull };
     m_waiting.insert(position, Waiting { request, refuseAt });
@@ -201,6 +258,8 @@
     // No report marks the moment from which a slowdown is no longer treated as transient.
     if (hasTransientSlowdown())
         next = std::min(next, m_slowdownStartedAt + m_settings.maxTransientSlowdown);
+    if (m_rateLimit && m_rateLimit->available(m_clock.now()) < 1)
+        next = std::min(next, m_clock.now() + rateLimitDelay(1));
     // On a cold server, waiting requests start when tokens are refilled, not when other requests end.
     constexpr std::chrono::milliseconds coldPollInterval { 20 };
     return isCold() ? std::min(next, m_clock.now() + coldPollInterval) : next;
@@ -218,8 +277,11 @@
     load.meanServiceTime
         = std::chrono::microseconds(static_cast<int64_t>(m_meanNominalServiceUs * m_slownessPercent / 100));
     load.failurePercent = static_cast<uint32_t>(std::lround(failureRate() * 100));
-    load.startInterval = std::chrono::microseconds(static_cast<int64_t>(1e6 / coldRate()));
-    load.startTokens = isCold() ? static_cast<uint32_t>(availableColdTokens()) : NodeLoad::unlimitedStartTokens;
+    load.startTokens = static_cast<uint32_t>(std::max(0.0, availableStartTokens()));
+    if (isCold())
+        load.startInterval = startDelay(1, coldRate());
+    if (m_rateLimit)
+        load.startInterval = std::max(load.startInterval, startDelay(1, m_rateLimit->rate()));
     return load;
 }
 
--- a/snipeweir/admission/ServerGate.h
+++ b/snipeweir/admission/ServerGate.h
@@ -2,6 +2,7 @@
 
 #include "snipeweir/core/CallTypes.h"
 #include "snipeweir/core/Clock.h"
+#include "snipeweir/core/TokenBucket.h"
 #include "snipeweir/placing/NodeLoad.h"
 
 #include <deque>
@@ -11,13 +12,14 @@
 namespace snipeweir {
 
 /// Decides when each request starts at the backend server of this node. All requests to that server pass through this
-/// gate, so it knows exactly what runs there. Performs no I/O and takes no locks; for use by one thread. Handles four
+/// gate, so it knows exactly what runs there. Performs no I/O and takes no locks; for use by one thread. Handles five
 /// conditions:
 /// - More requests than slots: a short priority queue, in which a request waits only as long as its response can still
 ///   be on time. Requests that cannot be on time are refused at once.
 /// - A transient slowdown of the server: long requests wait until it is over. A request keeps the speed at which it
 ///   started and would otherwise hold its slot for the whole of its longer service time.
 /// - A cold server: a token bucket limits the rate of starts.
+/// - A server that names a rate limit: another token bucket, which also counts requests that are sent again.
 /// - A server that fails or is gone: the share of failures is tracked, and a closed gate refuses all requests.
 class ServerGate {
 public:
@@ -43,6 +45,9 @@
         double coldMargin = 2;
         /// Rate of a cold server for which the operators set no limit, in requests per second.
         double defaultColdRate = 5;
+        /// Requests to a server with a rate limit that may start together, in seconds of that rate; one more may start
+        /// at any rate.
+        double rateLimitBurstSeconds = 0.25;
         /// Half-life of the failure rate, so that a server that recovered gets requests again.
         std::chrono::milliseconds failureHalfLife { 1500 };
     };
@@ -100,6 +105,13 @@
     /// @param remaining Time for which the server stays cold; zero if it is warm.
     void setCold(std::chrono::milliseconds remaining);
 
+    /// @param perSecond Requests per second that the server takes; empty if it names no limit. The first request
+    /// starts after one interval, so that a restart of this node adds none.
+    void setRateLimit(std::optional<double> perSecond);
+
+    /// Counts a request that is sent once more on a new connection.
+    void onSentAgain();
+
     /// Treats the server as cold for 3 s or until the next setCold(), because it may have restarted.
     void assumeCold();
 
@@ -148,6 +160,10 @@
     /// priority, requests that can still be on time precede those that are already late.
     bool precedes(const Request&, const Request& waiting) const;
     bool tryAcquireSlot();
+    /// @return Requests that may start now, as far as the rate of starts is limited.
+    double availableStartTokens() const;
+    /// @return Time until the server's rate limit lets this number of requests start.
+    std::chrono::microseconds rateLimitDelay(double requests) const;
     double failureRate() const;
     double availableColdTokens() const;
     std::chrono::microseconds nominalServiceTime(const Request&) const;
@@ -172,6 +188,9 @@
     double m_tokens = 0;
     SteadyTime m_tokensUpdatedAt {};
 
+    /// Tokens of the rate limit that the server names; empty if it names none.
+    std::optional<TokenBucket> m_rateLimit;
+
     double m_failureRate = 0;
     SteadyTime m_failureRateUpdatedAt {};
 };
--- a/snipeweir/core/CallTypes.cpp
+++ b/snipeweir/core/CallTypes.cpp
@@ -12,11 +12,12 @@
         "unknown",
     };
 
-    constexpr std::array<std::string_view, 40> reasonNames {
+    constexpr std::array<std::string_view, 41> reasonNames {
         "none",
         "server_limit",
         "class_limit",
         "cold_limit",
+        "rate_limit",
         "queue_full",
         "queue_timeout",
         "connection_limit",
--- a/snipeweir/core/CallTypes.h
+++ b/snipeweir/core/CallTypes.h
@@ -31,6 +31,7 @@
     ServerLimit,
     ClassLimit,
     ColdLimit,
+    RateLimit,
     QueueFull,
     QueueTimeout,
     ConnectionLimit,
--- a/snipeweir/core/TokenBucket.h
+++ b/snipeweir/core/TokenBucket.h
@@ -33,6 +33,21 @@
         return true;
     }
 
+    /// Removes tokens, also if the bucket holds fewer; the debt is refilled first.
+    void charge(double tokens, SteadyTime now)
+    {
+        refill(now);
+        m_tokens -= tokens;
+    }
+
+    /// @return Number of tokens in the bucket; negative after a charge beyond its content.
+    double available(SteadyTime now) const
+    {
+        return std::min(m_capacity, m_tokens + m_rate * std::chrono::duration<double>(now - m_updatedAt).count());
+    }
+
+    double rate() const { return m_rate; }
+
     /// Changes the refill rate. Tokens accumulated at the old rate are kept.
     /// @param ratePerSecond Tokens added per second from now on.
     /// @param now Current time.
@@ -42,10 +57,17 @@
         m_rate = ratePerSecond;
     }
 
+    /// Changes the maximum number of tokens and drops those beyond it.
+    void setCapacity(double capacity, SteadyTime now)
+    {
+        m_capacity = capacity;
+        refill(now);
+    }
+
 private:
     void refill(SteadyTime now)
     {
-        m_tokens = std::min(m_capacity, m_tokens + m_rate * std::chrono::duration<double>(now - m_updatedAt).count());
+        m_tokens = available(now);
         m_updatedAt = now;
     }
 
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -79,7 +79,7 @@
     NodeLoad load = m_gate.load();
     const BackendEntry* entry = m_view.findByAddress(m_node.backendAddress);
     load.instance = entry ? entry->instance : std::string();
-    load.isAccepting = load.isAccepting && !m_isServerUnreachable;
+    load.isAccepting = load.isAccepting && !m_isServerUnreachable && m_hasCheckedServer;
     return load;
 }
 
@@ -138,6 +138,8 @@
 {
     if (m_isServerUnreachable)
         co_return Response::notRun(Reason::BackendUnreachable);
+    if (!m_hasCheckedServer)
+        co_return Response::notRun(Reason::StaleView);
     const SteadyTime arrivedAt = m_clock.now();
     ServerGate::Request ticket { m_nextTicket++, request.priority, request.targetAt, request.deadline,
         request.expectedServiceTime };
@@ -258,6 +260,7 @@
         if (wasPooledConnectionClosed && isIdempotent(request.kind)) {
             // The server had closed the pooled connection. Keep the slot and retry on a new connection.
             exchange->onEnd = {};
+            m_gate.onSentAgain();
             exchange = co_await connect(request, false);
             if (!exchange) {
                 run->hasFailed = true;
@@ -403,6 +406,8 @@
     const bool wasLimited = m_rateLimit.requestsPerSecond().has_value();
     if (isMalformed || !m_rateLimit.onResponse(limit, sentAt, m_clock.now()))
         return;
+    m_gate.setRateLimit(limit);
+    advanceGate();
     if (limit.has_value() != wasLimited)
         m_log.logStateChange("server_rate_limit",
             { { "per_second", limit ? std::to_string(*limit) : "none" }, { "instance", m_instance } });
@@ -433,6 +438,7 @@
             continue;
         const SteadyTime checkedAt = m_clock.now();
         const bool isHealthy = co_await checkHealth();
+        m_hasCheckedServer = true;
         // The check's own time limit is shorter than any suspension that counts.
         handleSuspension(m_clock.now() - checkedAt);
         if (isHealthy != wasHealthy)
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -148,6 +148,9 @@
     ServerRateLimit m_rateLimit;
     SteadyTime m_loadAt {};
     bool m_isStopping = false;
+    /// Whether a health check has ended since this process started. Until then the node does not know whether the
+    /// server leaves or has a rate limit, and what it was sent before.
+    bool m_hasCheckedServer = false;
     bool m_isServerUnreachable = false;
 };
 
--- a/snipeweir/retry/RetryPolicy.cpp
+++ b/snipeweir/retry/RetryPolicy.cpp
@@ -11,6 +11,7 @@
         case Reason::ServerLimit:
         case Reason::ClassLimit:
         case Reason::ColdLimit:
+        case Reason::RateLimit:
         case Reason::QueueFull:
         case Reason::QueueTimeout:
         case Reason::ConnectionLimit:
--- a/tests/admission/ServerGateTests.cpp
+++ b/tests/admission/ServerGateTests.cpp
@@ -1,4 +1,5 @@
 #include "snipeweir/admission/ServerGate.h"
+#include "snipeweir/admission/ServerRateLimit.h"
 #include "snipeweir/core/Random.h"
 
 #include <algorithm>
@@ -258,6 +259,130 @@
     CHECK(decisions[0].verdict == Verdict::Admitted);
 }
 
+namespace {
+
+/// @return Largest number of starts in any window of four seconds.
+ptrdiff_t mostStarts(const std::vector<SteadyTime>& starts)
+{
+    ptrdiff_t most = 0;
+    for (auto first = starts.begin(); first != starts.end(); ++first)
+        most = std::max(most, std::upper_bound(first, starts.end(), *first + 4s) - first);
+    return most;
+}
+
+/// Offers two requests each millisecond and records their starts; each ends at once.
+void offerEachMillisecond(ServerGate& gate, ManualClock& clock, std::chrono::milliseconds time, uint64_t& nextId,
+    std::vector<SteadyTime>& starts)
+{
+    const auto record = [&](const ServerGate::Decision& decision) {
+        if (decision.verdict != Verdict::Admitted)
+            return;
+        starts.push_back(clock.now());
+        gate.onFinished(decision.id, ServerGate::RunResult::Succeeded, 1ms);
+    };
+    for (auto passed = 0ms; passed < time; passed += 1ms) {
+        clock.advance(1ms);
+        for (int copy = 0; copy < 2; ++copy)
+            record(gate.offer(requestAt(clock, nextId++)));
+        for (const auto& decision : gate.advance())
+            record(decision);
+    }
+}
+
+}
+
+TEST_CASE("A server gets more requests than the rate limit that it names, at any load and limit")
+{
+    for (const double limit : { 0.3, 3.9, 7.2, 60.0, 700.0 }) {
+        CAPTURE(limit);
+        ManualClock clock;
+        ServerGate gate = openGate(clock, 50);
+        gate.setRateLimit(limit);
+        std::vector<SteadyTime> starts;
+        uint64_t id = 1;
+        offerEachMillisecond(gate, clock, 20s, id, starts);
+        CHECK(mostStarts(starts) <= 1.5 * limit * 4 + 5);
+        CHECK(static_cast<double>(starts.size()) >= 0.95 * limit * 20 - 1);
+    }
+}
+
+TEST_CASE("Each restart of the node adds requests beyond the rate limit of its server")
+{
+    constexpr double limit = 1.2;
+    ManualClock clock;
+    std::vector<SteadyTime> starts;
+    uint64_t id = 1;
+    for (int restart = 0; restart < 10; ++restart) {
+        ServerGate gate = openGate(clock, 50);
+        gate.setRateLimit(limit);
+        offerEachMillisecond(gate, clock, 700ms, id, starts);
+    }
+    CHECK(starts.empty()); // The interval between two starts is 833 ms.
+}
+
+TEST_CASE("A suspension of the node saves up requests beyond the rate limit of its server")
+{
+    ManualClock clock;
+    ServerGate gate = openGate(clock, 50);
+    gate.setRateLimit(4);
+    std::vector<SteadyTime> starts;
+    uint64_t id = 1;
+    offerEachMillisecond(gate, clock, 4s, id, starts);
+    clock.advance(10s);
+    offerEachMillisecond(gate, clock, 4s, id, starts);
+    CHECK(mostStarts(starts) <= 4 * 4 + 2);
+}
+
+TEST_CASE("Requests that are sent again exceed the rate limit of the server")
+{
+    ManualClock clock;
+    ServerGate gate = openGate(clock, 50);
+    gate.setRateLimit(10);
+    std::vector<SteadyTime> starts;
+    uint64_t id = 1;
+    for (int second = 0; second < 8; ++second) {
+        offerEachMillisecond(gate, clock, 1s, id, starts);
+        for (int again = 0; again < 5; ++again)
+            gate.onSentAgain();
+    }
+    CHECK(starts.size() <= 8 * 10 - 7 * 5 + 4);
+}
+
+TEST_CASE("A request that the rate limit delays beyond its target waits instead of being refused at once")
+{
+    ManualClock clock;
+    ServerGate gate = openGate(clock, 50);
+    gate.setRateLimit(0.5);
+    const auto decision = gate.offer(requestAt(clock, 1));
+    CHECK(decision.verdict == Verdict::Refused);
+    CHECK(decision.reason == Reason::RateLimit);
+    gate.setRateLimit(0);
+    CHECK(gate.offer(requestAt(clock, 2)).reason == Reason::RateLimit);
+    CHECK(gate.load().startTokens == 0);
+    gate.setRateLimit(10);
+    CHECK(gate.offer(requestAt(clock, 3)).verdict == Verdict::Waiting);
+    REQUIRE(gate.nextAdvance());
+    clock.moveTo(*gate.nextAdvance());
+    const auto decisions = gate.advance();
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].verdict == Verdict::Admitted);
+    gate.setRateLimit(std::nullopt);
+    CHECK(gate.offer(requestAt(clock, 4)).verdict == Verdict::Admitted);
+}
+
+TEST_CASE("A response that overtook another ends the rate limit of a server")
+{
+    ManualClock clock;
+    const SteadyTime sent = clock.now();
+    ServerRateLimit limit;
+    CHECK_FALSE(limit.onResponse(std::nullopt, sent, sent + 1ms));
+    CHECK(limit.onResponse(7.2, sent, sent + 10ms));
+    CHECK_FALSE(limit.onResponse(std::nullopt, sent + 5ms, sent + 11ms));
+    CHECK(limit.requestsPerSecond() == 7.2);
+    CHECK(limit.onResponse(std::nullopt, sent + 11ms, sent + 20ms));
+    CHECK_FALSE(limit.requestsPerSecond());
+}
+
 // Backend servers make three concurrent calls, five times per second, to a cold service that can handle 17 requests per
 // second. A refused call fails the request that needs it and wastes the work already done for that request.
 TEST_CASE("Calls with a short target are served by a cold server that can run them in time")
