Add tests of servers that send bytes without end, a refusal twice, or a truncated head

Evidence: of 17 kinds of bytes without end 10 checks fail. Interim responses are read for ever after the caller has its 504, at a whole core, so that the kinds after it fail for the load too; a chunk's extension, a chunk's size, trailer fields and a trailer field take 184 to 345 MB in a second (714 to 735 MB in two seconds by a faster sender); a refusal with a body without end ends with 504 at the deadline instead of 503 at once.

--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -155,8 +155,9 @@
 
 class Backend:
     """Simulates a backend server. Modes: ok, error (status 500), hang (runs for 30 s), reset_after_run (runs, then
-    resets the connection), extra (sends a second response), cut (truncates the response), no_seal (omits the
-    signature), encoded (sets Content-Encoding), shed (refuses without running)."""
+    resets the connection), extra (sends a second response), cut (truncates the response), cut_head (truncates it
+    within its head), no_seal (omits the signature), encoded (sets Content-Encoding), shed (refuses without running),
+    shed_twice (refuses every other request, and sends each refusal once more later), endless (see endless)."""
 
     def __init__(self, instance, service, service_time=0.05):
         self.instance, self.service, self.service_time = instance, service, service_time
@@ -171,7 +172,12 @@
         self.rate_limit = None  # Requests per second that all responses name as the most that the server takes.
         self.is_health_silent = False  # Whether health checks get no response.
         self.health_delay = 0.0  # Seconds until a health check gets its response.
+        self.endless = None  # Bytes to send, and bytes to repeat after them until the node closes the connection.
+        self.endless_ends = []  # (begin, end) of such responses, the end when the node closed the connection.
         self.body = b"x" * 300
+        self.head_bytes = 0  # Length of the truncated head.
+        self.refuses_with_id = True  # Whether refusals carry the request's id.
+        self.repeat_delay = 0.03  # Seconds until a refusal is sent once more.
         self.echoes_request_id = False  # Whether the response's body contains the request's id.
 
     async def start(self, ip, port):
@@ -214,6 +220,18 @@
         finally:
             writer.close()
 
+    async def write_endlessly(self, writer, request_id):
+        begin = time.monotonic()
+        first, repeated = self.endless
+        try:
+            writer.write(first.replace(b"{id}", request_id.encode()))
+            while not writer.is_closing():
+                writer.write(repeated)
+                await writer.drain()
+                await asyncio.sleep(0.001)
+        finally:
+            self.endless_ends.append((begin, time.monotonic()))
+
     async def run(self, reader, writer, line, fields, body):
         request_id = fields.get("request-id", "")
         if fields.get("expected-instance", self.instance) != self.instance:
@@ -221,12 +239,17 @@
                          f"{self.notices()}Content-Length: 0\r\n\r\n".encode())
             return
         self.arrivals.append((time.monotonic(), request_id, line, fields))
-        if self.mode == "shed":
-            writer.write(f"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: {request_id}\r\n"
-                         f"{self.notices()}Content-Length: 0\r\n\r\n".encode())
+        if self.mode == "shed" or (self.mode == "shed_twice" and len(self.arrivals) % 2):
+            echo = f"Request-Id: {request_id}\r\n" if self.refuses_with_id else ""
+            refusal = f"HTTP/1.1 503 X\r\nNot-Executed: 1\r\n{echo}{self.notices()}Content-Length: 0\r\n\r\n".encode()
+            writer.write(refusal)
+            if self.mode == "shed_twice":
+                asyncio.get_running_loop().call_later(self.repeat_delay, writer.write, refusal)
             return
         self.started.append(request_id)
         mode = self.mode
+        if mode == "endless":
+            await self.write_endlessly(writer, request_id)
         closed = asyncio.ensure_future(reader.read(1))
         service_time = 30 if mode == "hang" else self.service_time
         done, _ = await asyncio.wait({closed}, timeout=service_time)
@@ -244,6 +267,9 @@
         text = (request_id * 20).encode() if self.echoes_request_id else self.body
         response = (f"HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\n{seal}{encoded}{self.notices()}"
                     f"Server-Load: 1,0,10,100\r\nContent-Length: {len(text)}\r\n\r\n").encode() + text
+        if mode == "cut_head":
+            writer.write(response[:self.head_bytes])
+            raise ConnectionError
         if mode == "cut":
             writer.write(response[:-20])
             raise ConnectionError
--- /dev/null
+++ b/tests/relay/test_faulty_servers.py
@@ -0,0 +1,129 @@
+"""Tests what callers get from backend servers that send bytes that are no response, with real node processes.
+
+Usage: test_faulty_servers.py PROGRAM [unittest arguments]"""
+
+import asyncio
+import os
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from fleet import Fleet  # noqa: E402
+
+PROGRAM = sys.argv.pop(1) if len(sys.argv) > 1 else "build/bin/snipeweir-platform"
+DEADLINE = 1.0  # Seconds.
+MAX_GROWTH = 32 << 20  # Bytes of memory.
+FILLER = b"x" * 500_000
+RUN_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: s\r\n"
+REFUSAL_HEAD = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: {id}\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNK = b"%x\r\n" % len(FILLER) + FILLER + b"\r\n"
+# First bytes, repeated bytes, and the statuses that callers may get; None: the connection is closed.
+ENDLESS = {
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 20_000, (502, 504)),
+    "bytes that are no head": (b"", b"\x00\xff" * 250_000, (502, 504)),
+    "a status line": (b"HTTP/1.1 200 ", FILLER, (502, 504)),
+    "a field": (RUN_HEAD + b"X-Filler: ", FILLER, (502, 504)),
+    "fields": (RUN_HEAD, b"X-Filler: x\r\n" * 40_000, (502, 504)),
+    "a chunk's extension": (RUN_HEAD + CHUNKED + b"5;", FILLER, (502, 504)),
+    "a chunk's size": (RUN_HEAD + CHUNKED, b"0" * 500_000, (502, 504)),
+    "trailer fields": (RUN_HEAD + CHUNKED + b"1\r\nx\r\n0\r\n", b"X-Filler: x\r\n" * 40_000, (502, 504)),
+    "a trailer field": (RUN_HEAD + CHUNKED + b"1\r\nx\r\n0\r\nX-Filler: ", FILLER, (502, 504)),
+    "a body without a signature": (b"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n" + CHUNKED, CHUNK, (502, 504)),
+    "the body of another response": (b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n" + CHUNKED, CHUNK, (502, 504)),
+    "responses to other requests":
+        (b"", b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n" * 8000, (502, 504)),
+    "the body of a refusal": (REFUSAL_HEAD + CHUNKED, CHUNK, (503,)),
+    "bytes after a refusal": (REFUSAL_HEAD + b"Content-Length: 0\r\n\r\n", FILLER, (503,)),
+    "bytes after a response": (RUN_HEAD + b"Content-Length: 1\r\n\r\nx", FILLER, (200,)),
+    "a body": (RUN_HEAD + CHUNKED, CHUNK, (200, None)),
+    "a body without length": (RUN_HEAD + b"\r\n", FILLER, (200, None)),
+}
+
+
+def memory(node):
+    with open(f"/proc/{node.process.pid}/statm") as statm:
+        return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def processor_seconds(node):
+    with open(f"/proc/{node.process.pid}/stat") as stat:
+        fields = stat.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+class FaultyServerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        # All requests run at the node of the faulty server; the caller's node has another service.
+        self.fleet = Fleet(PROGRAM, self.folder.name, ["one", "two"], f"127.{100 + os.getpid() % 100}")
+        await self.fleet.start()
+        self.server, self.caller = self.fleet.nodes
+        self.backend = self.server.backend
+
+    async def asyncTearDown(self):
+        await self.fleet.stop()
+        self.folder.cleanup()
+
+    async def send(self, request_id=None, deadline=DEADLINE, method="POST", path="/u/x"):
+        return await self.fleet.send(self.caller, method, path, deadline=int(deadline * 1000), request_id=request_id)
+
+    async def test_bytes_without_end_hold_a_caller_a_connection_or_memory(self):
+        for name, (first, repeated, statuses) in ENDLESS.items():
+            with self.subTest(name):
+                self.backend.endless, self.backend.mode = (first, repeated), "endless"
+                self.backend.endless_ends.clear()
+                before, peak, begin = memory(self.server), 0, time.monotonic()
+                send = asyncio.ensure_future(self.send())
+                while not send.done():
+                    await asyncio.sleep(0.02)
+                    peak = max(peak, memory(self.server) - before)
+                took, response = time.monotonic() - begin, await send
+                status = response.status if response and response.is_complete else None
+                await asyncio.sleep(0.3)
+                ends = [end - begin for _, end in self.backend.endless_ends]
+                busy = processor_seconds(self.server)
+                await asyncio.sleep(0.5)
+                busy = processor_seconds(self.server) - busy
+                self.backend.mode = "ok"
+                self.assertEqual((await self.send(deadline=2)).status, 200)
+                self.assertIn(status, statuses)
+                # The caller learns at once that its request was not run.
+                self.assertLess(took, DEADLINE / 2 if status == 503 else DEADLINE + 0.3)
+                self.assertLess(peak, MAX_GROWTH)
+                self.assertEqual(len(ends), 1)
+                self.assertLess(ends[0], DEADLINE + 0.3)
+                self.assertLess(busy, 0.25)
+
+    async def test_a_refusal_sent_twice_is_taken_for_that_of_a_later_request(self):
+        for has_id in (True, False):
+            self.backend.refuses_with_id = has_id
+            for delay in (0.0, 0.005, 0.02, 0.06):
+                self.backend.repeat_delay, self.backend.mode = delay, "shed_twice"
+                for _ in range(10):
+                    request_id = self.fleet.new_id()
+                    response = await self.send(request_id, 2)
+                    runs = self.backend.started.count(request_id)
+                    self.assertLessEqual(runs, 1)
+                    if response.status == 503:
+                        self.assertEqual(runs, 0)
+                    elif response.status == 200:
+                        self.assertEqual(response.fields["request-id"], request_id)
+                self.backend.mode = "ok"
+                await asyncio.sleep(0.1)
+
+    async def test_a_truncated_head_becomes_a_success(self):
+        self.backend.mode = "cut_head"
+        head = f"HTTP/1.1 200 X\r\nRequest-Id: id00000001\r\nServer-Seal: seal-i-0\r\nServer-Load: 1,0,10,100\r\n"
+        for length in list(range(1, len(head), 7)) + [len(head) - 2, len(head) - 1, len(head), len(head) + 20]:
+            self.backend.head_bytes = length
+            for method, path in (("GET", "/s/x"), ("POST", "/u/x")):
+                response = await self.send(method=method, path=path, deadline=2)
+                self.assertEqual(response.status, 502, length)
+                self.assertEqual((response.is_complete, response.body), (True, b""))
+
+
+if __name__ == "__main__":
+    unittest.main()
