End a read at its deadline also while bytes keep arriving

What callers saw: after a server had sent interim responses without end, each request through its node waited, since the node kept a core busy for ever; the caller of the first one had its 504. Cause: the timer of a stream ends a read only while no bytes arrive. The loop over interim responses, and those that skip a body, had no other bound, and went on after the request had ended. Fix: 8 interim responses at most, 64 KB of a body that is skipped, and no read 20 ms past the deadline.

--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -17,6 +17,12 @@
 
     constexpr size_t readChunkBytes = 32U << 10U;
     constexpr uint32_t maxHeadBytes = 32U << 10U;
+    /// Number of interim responses that may precede a final one.
+    constexpr int maxInterimResponses = 8;
+    /// Time after the deadline in which bytes that have already arrived are still read.
+    constexpr std::chrono::milliseconds deadlineTolerance { 20 };
+    /// Maximum size of a body that is skipped.
+    constexpr size_t maxSkippedBytes = 64U << 10U;
 
 }
 
@@ -94,8 +100,11 @@
 {
     if (m_hasEnded)
         co_return StepResult::Broken;
-    expireAt(m_connection->stream, deadline);
+    int interimResponses = 0;
     do {
+        if (interimResponses++ > maxInterimResponses)
+            co_return finish(StepResult::Broken);
+        expireAt(m_connection->stream, deadline);
         m_parser.emplace();
         m_parser->header_limit(maxHeadBytes);
         m_parser->body_limit(boost::none);
@@ -124,6 +133,9 @@
 
 asio::awaitable<error_code> HttpExchange::readSome(std::string& body, SteadyTime deadline)
 {
+    // The stream's timer ends a read only while no bytes arrive.
+    if (BootTime::now() >= deadline + deadlineTolerance)
+        co_return beast::error::timeout;
     expireAt(m_connection->stream, deadline);
     const size_t before = body.size();
     body.resize(before + readChunkBytes);
@@ -154,7 +166,9 @@
     if (m_hasEnded || m_parser->need_eof())
         co_return finish(StepResult::Broken);
     std::string ignored;
-    while (!m_parser->is_done()) {
+    for (size_t skipped = 0; !m_parser->is_done(); skipped += ignored.size()) {
+        if (skipped > maxSkippedBytes)
+            co_return finish(StepResult::Broken);
         ignored.clear();
         const error_code error = co_await readSome(ignored, deadline);
         if (error)
--- a/snipeweir/relay/HttpExchange.h
+++ b/snipeweir/relay/HttpExchange.h
@@ -33,7 +33,7 @@
     /// @return Complete, Broken or TimedOut.
     asio::awaitable<StepResult> send(std::string head, const std::string& body, SteadyTime deadline);
 
-    /// Reads the head of the next final response and skips interim (1xx) responses.
+    /// Reads the head of the next final response and skips a few interim (1xx) responses.
     asio::awaitable<StepResult> readHead(SteadyTime deadline);
 
     /// Reads more of the body.
@@ -44,6 +44,7 @@
     asio::awaitable<StepResult> readBodyUpTo(std::string& body, size_t atLeast, SteadyTime deadline);
 
     /// Skips the body of a response that belongs to another request, so that readHead() reads the next response.
+    /// @return Complete, TimedOut, or Broken, also if the body is too large to skip.
     asio::awaitable<StepResult> skipBody(SteadyTime deadline);
 
     /// Interrupts the current operation; the exchange ends as Broken.
