Limit what is read ahead on a connection to a server

What callers saw: a server that sent a chunk's extension or size line, or trailer fields, without end made its node take 180 MB and more in a second, on VMs of 260 MB; the node is killed then, with all requests on it. Cause: the parser asks for more bytes until such a line ends, and the buffer had no limit; only heads were limited. Fix: a connection buffers 128 KB at most.

--- a/snipeweir/relay/Connection.h
+++ b/snipeweir/relay/Connection.h
@@ -32,8 +32,12 @@
 
 /// A TCP connection that this node opened, with its read buffer.
 struct Connection {
+    /// Maximum number of bytes that are read ahead. A head, the size line of a chunk and the trailer must each fit.
+    static constexpr size_t maxBufferedBytes = 128U << 10U;
+
     explicit Connection(const asio::any_io_executor& executor)
         : stream(executor)
+        , buffer(maxBufferedBytes)
     {
     }
 
