Tell a caller of a refusal without waiting for the refusal's body

What callers saw: a server refused a request, and the caller got 504 at the deadline, or 503 only then, if the refusal's body did not end in time; it could have tried again at once. Cause: the node read the body of a refusal until the deadline, so that the connection could be used again. Health checks read on alike. Evidence: test_faulty_servers.py, a refusal with a body without end: 504, and after the fix before 503, both 1.0 s after the request (its deadline); 503 at once after this one. Fix: 50 ms for the body of a refusal and 64 KB for any body that is not needed; beyond, the connection is closed. The refusal's head alone says that the request was not run.

--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -161,22 +161,34 @@
     co_return m_parser->is_done() ? finish(StepResult::Complete) : StepResult::More;
 }
 
-asio::awaitable<HttpExchange::StepResult> HttpExchange::skipBody(SteadyTime deadline)
+asio::awaitable<HttpExchange::StepResult> HttpExchange::readIgnored(SteadyTime deadline)
 {
-    if (m_hasEnded || m_parser->need_eof())
-        co_return finish(StepResult::Broken);
     std::string ignored;
-    for (size_t skipped = 0; !m_parser->is_done(); skipped += ignored.size()) {
-        if (skipped > maxSkippedBytes)
-            co_return finish(StepResult::Broken);
+    for (size_t size = 0; !m_parser->is_done(); size += ignored.size()) {
+        if (size > maxSkippedBytes)
+            co_return StepResult::Broken;
         ignored.clear();
         const error_code error = co_await readSome(ignored, deadline);
         if (error)
-            co_return finish(endFromError(error));
+            co_return endFromError(error);
     }
     co_return StepResult::Complete;
 }
 
+asio::awaitable<HttpExchange::StepResult> HttpExchange::skipBody(SteadyTime deadline)
+{
+    if (m_hasEnded || m_parser->need_eof())
+        co_return finish(StepResult::Broken);
+    const StepResult end = co_await readIgnored(deadline);
+    co_return end == StepResult::Complete ? end : finish(end);
+}
+
+asio::awaitable<void> HttpExchange::discardBody(SteadyTime deadline)
+{
+    if (!m_hasEnded)
+        finish(co_await readIgnored(deadline));
+}
+
 asio::awaitable<HttpExchange::StepResult> HttpExchange::readBodyUpTo(
     std::string& body, size_t atLeast, SteadyTime deadline)
 {
--- a/snipeweir/relay/HttpExchange.h
+++ b/snipeweir/relay/HttpExchange.h
@@ -47,6 +47,10 @@
     /// @return Complete, TimedOut, or Broken, also if the body is too large to skip.
     asio::awaitable<StepResult> skipBody(SteadyTime deadline);
 
+    /// Reads the rest of a body that is not needed. Closes the connection if the body is too large or does not end in
+    /// time.
+    asio::awaitable<void> discardBody(SteadyTime deadline);
+
     /// Interrupts the current operation; the exchange ends as Broken.
     void cancel();
 
@@ -74,6 +78,7 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     StepResult finish(StepResult);
+    asio::awaitable<StepResult> readIgnored(SteadyTime deadline);
     asio::awaitable<error_code> readSome(std::string& body, SteadyTime deadline);
     static StepResult endFromError(const error_code&);
     void parseKeepAlive();
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -10,6 +10,8 @@
 
     /// Number of responses to other requests that are skipped before a connection is closed.
     constexpr int maxMismatchedResponses = 3;
+    /// Time limit for the body of a refusal, after which its connection is closed.
+    constexpr std::chrono::milliseconds maxRefusalBodyTime { 50 };
     /// Delay of a timer from which a suspension of the process or the VM is assumed.
     constexpr std::chrono::milliseconds minSuspension { 1000 };
 
@@ -319,9 +321,8 @@
 
     if (status == 421 || exchange->hasField(m_names.notRun)) {
         run.wasNotRun = true;
-        std::string ignored;
-        while (co_await exchange->readBody(ignored, request.deadline) == StepResult::More)
-            ignored.clear();
+        // The head says all; the body is read only so that the connection can be used again.
+        co_await exchange->discardBody(std::min(request.deadline, m_clock.now() + maxRefusalBodyTime));
         if (status == 421)
             m_instance.clear();
         if (status == 421)
@@ -476,9 +477,7 @@
     }
     const auto cold = parseUnsigned(exchange.field(m_names.coldRemaining));
     const bool isHealthy = exchange.status() == 200;
-    std::string body;
-    while (co_await exchange.readBody(body, deadline) == StepResult::More)
-        body.clear();
+    co_await exchange.discardBody(deadline);
     if (!instance.empty()) {
         if (instance != m_instance)
             m_log.logStateChange("server_instance",
