--- a/tests/relay/test_faulty_servers.py
+++ b/tests/relay/test_faulty_servers.py
@@ -10,7 +10,7 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from fleet import Fleet  # noqa: E402
+from fleet import Fleet, PORTS  # noqa: E402
 
 PROGRAM = sys.argv.pop(1) if len(sys.argv) > 1 else "build/bin/snipeweir-platform"
 DEADLINE = 1.0  # Seconds.
@@ -97,6 +97,27 @@
                 self.assertLess(ends[0], DEADLINE + 0.3)
                 self.assertLess(busy, 0.25)
 
+    async def test_a_caller_that_sends_a_body_without_end_takes_the_nodes_memory(self):
+        head = b"POST /u/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: endless\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for first, repeated in ((b"5;", FILLER), (b"", b"0" * 500_000), (b"1\r\nx\r\n0\r\nX-Filler: ", FILLER),
+                                (b"1\r\nx\r\n0\r\n", b"X-Filler: x\r\n" * 40_000), (b"", CHUNK)):
+            with self.subTest(first):
+                before = memory(self.caller)
+                reader, writer = await asyncio.open_connection(self.caller.ip, PORTS["callers"])
+                writer.write(head + first)
+                end = time.monotonic() + 2
+                try:
+                    while time.monotonic() < end:
+                        writer.write(repeated)
+                        await writer.drain()
+                        await asyncio.sleep(0.001)
+                        self.assertLess(memory(self.caller) - before, MAX_GROWTH)
+                    self.fail("the connection stays open")
+                except OSError:
+                    pass
+                writer.close()
+                self.assertEqual((await self.send(deadline=2)).status, 200)
+
     async def test_a_refusal_sent_twice_is_taken_for_that_of_a_later_request(self):
         for has_id in (True, False):
             self.backend.refuses_with_id = has_id
