Report a head that ends within a line as a lost connection

What callers saw: nothing reported here; operators of systems like ours saw a 200 with an empty body, framed as whole, after an endpoint had stopped within its head and closed. In snipeweird such a transfer counted as complete. Cause: libcurl ends a transfer with success if the connection ends within a head, and HttpClient took its word. Evidence: the new unit test truncates a response at each byte; from the end of the status line on, the transfer ended as Complete (29 of 46 places) before; none after. Fix: a transfer is complete only if its final head was.

--- a/snipeweir/transport/HttpClient.cpp
+++ b/snipeweir/transport/HttpClient.cpp
@@ -190,7 +190,8 @@
         return TransferEnd::Malformed;
     switch (curlCode) {
     case CURLE_OK:
-        return TransferEnd::Complete;
+        // libcurl also reports success if the connection ends within a head.
+        return m_head.status != 0 ? TransferEnd::Complete : TransferEnd::ConnectionLost;
     // libcurl resends a request on its own when a reused connection ends without a response. The resend may fail to
     // connect although the server has run the first send. After any send, a failed connect therefore does not prove
     // that the request was not run.
--- a/tests/transport/HttpTests.cpp
+++ b/tests/transport/HttpTests.cpp
@@ -76,6 +76,45 @@
     }
 };
 
+/// Server on the test port that sends the same bytes to each request of one connection, then repeats others until the
+/// client closes the connection, or closes it itself if there are none to repeat.
+class RawServer {
+public:
+    RawServer(std::string first, std::string repeated)
+        : m_listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const int reuse = 1;
+        setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+        sockaddr_in at {};
+        at.sin_family = AF_INET;
+        at.sin_port = htons(port);
+        inet_pton(AF_INET, "127.0.0.1", &at.sin_addr);
+        REQUIRE(bind(m_listener, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0);
+        REQUIRE(listen(m_listener, 5) == 0);
+        m_thread = std::thread([this, first = std::move(first), repeated = std::move(repeated)] {
+            const int connection = accept(m_listener, nullptr, nullptr);
+            std::array<char, 4096> request {};
+            if (recv(connection, request.data(), request.size(), 0) > 0
+                && send(connection, first.data(), first.size(), MSG_NOSIGNAL) >= 0) {
+                while (!repeated.empty() && send(connection, repeated.data(), repeated.size(), MSG_NOSIGNAL) > 0) { }
+            }
+            close(connection);
+        });
+    }
+    ~RawServer()
+    {
+        shutdown(m_listener, SHUT_RDWR);
+        m_thread.join();
+        close(m_listener);
+    }
+    RawServer(const RawServer&) = delete;
+    RawServer& operator=(const RawServer&) = delete;
+
+private:
+    int m_listener;
+    std::thread m_thread;
+};
+
 void readBodyAndRespond(HttpServerExchange& exchange)
 {
     const SystemClock clock;
@@ -169,6 +208,18 @@
     CHECK(performGet(client, server.clock, std::chrono::milliseconds(1000)) == TransferEnd::ConnectionLost);
 }
 
+TEST_CASE("A truncated head is reported as a complete response")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A: b\r\n\r\n";
+    for (size_t length = 0; length < head.size(); ++length) {
+        CAPTURE(length);
+        const RawServer server(head.substr(0, length), "");
+        const SystemClock clock;
+        HttpClient client(clock);
+        CHECK(performGet(client, clock, std::chrono::milliseconds(1000)) != TransferEnd::Complete);
+    }
+}
+
 TEST_CASE("Interim responses count as progress")
 {
     const TestServer server([](HttpServerExchange& exchange) {
