Limit the trailer that HttpClient accepts

What callers saw: nothing reported. A server whose trailer does not end held the transfer until its deadline and took memory. Cause: each line after the final head was kept, although trailers are not used; libcurl limits heads only. Fix: trailer lines are not kept, and more than 64 KB of them end the transfer as malformed.

--- a/snipeweir/transport/HttpClient.cpp
+++ b/snipeweir/transport/HttpClient.cpp
@@ -16,6 +16,7 @@
     constexpr std::chrono::milliseconds maxIdleTime { 3000 };
     constexpr size_t maxIdleConnectionsPerAddress = 32;
     constexpr std::chrono::milliseconds maxStepWait { 20 };
+    constexpr size_t maxTrailerBytes = 64U << 10U;
 
     void initializeLibcurl()
     {
@@ -133,6 +134,12 @@
 
 void HttpTransfer::readHeaderLine(std::string_view line)
 {
+    if (m_head.status != 0) {
+        // A line after the final head belongs to the trailer, which is not used. libcurl does not limit its size.
+        m_trailerBytes += line.size();
+        m_isMalformed = m_isMalformed || m_trailerBytes > maxTrailerBytes;
+        return;
+    }
     if (line.starts_with("HTTP/")) {
         m_partialHead = {};
         const auto space = line.find(' ');
@@ -151,8 +158,8 @@
         return;
     }
 
-    // An empty line ends a head. An interim response only counts as progress. After the final head, lines are trailers.
-    if (m_partialHead.status < 200 || m_head.status != 0)
+    // An empty line ends a head. An interim response only counts as progress.
+    if (m_partialHead.status < 200)
         return;
     m_head = std::move(m_partialHead);
     m_partialHead = {};
--- a/snipeweir/transport/HttpClient.h
+++ b/snipeweir/transport/HttpClient.h
@@ -103,6 +103,7 @@
     TransferHooks m_hooks;
     HttpResponseHead m_head;
     HttpResponseHead m_partialHead;
+    size_t m_trailerBytes = 0;
     SteadyTime m_lastProgress;
     bool m_mayHaveSent = false; ///< A connection was established, so part of the request may have been sent.
     bool m_hasAborted = false;
--- a/tests/transport/HttpTests.cpp
+++ b/tests/transport/HttpTests.cpp
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <fstream>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -115,6 +116,14 @@
     std::thread m_thread;
 };
 
+int64_t residentBytes()
+{
+    int64_t total = 0;
+    int64_t resident = 0;
+    std::ifstream("/proc/self/statm") >> total >> resident;
+    return resident * sysconf(_SC_PAGESIZE);
+}
+
 void readBodyAndRespond(HttpServerExchange& exchange)
 {
     const SystemClock clock;
@@ -220,6 +229,33 @@
     }
 }
 
+TEST_CASE("Lines without end hold a transfer until its deadline, or memory")
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    std::string interims;
+    std::string fields;
+    for (int i = 0; i < 4000; ++i) {
+        interims += interim;
+        fields += "X-Filler: x\r\n";
+    }
+    const std::string filler(100'000, 'x');
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n";
+    const std::vector<std::pair<std::string, std::string>> responses { { "", interims },
+        { "HTTP/1.1 200 OK\r\n", fields }, { "HTTP/1.1 200 OK\r\nX-Filler: ", filler }, { "HTTP/1.1 200 ", filler },
+        { chunked + "0\r\n", fields }, { chunked + "0\r\nX-Filler: ", filler }, { chunked + "5;", filler } };
+    for (size_t index = 0; index < responses.size(); ++index) {
+        CAPTURE(index);
+        const RawServer server(responses[index].first, responses[index].second);
+        const int64_t before = residentBytes();
+        const SystemClock clock;
+        HttpClient client(clock);
+        const auto begin = clock.now();
+        CHECK(performGet(client, clock, std::chrono::milliseconds(1000)) != TransferEnd::Complete);
+        CHECK(clock.now() - begin < std::chrono::seconds(2));
+        CHECK(residentBytes() - before < 32'000'000);
+    }
+}
+
 TEST_CASE("Interim responses count as progress")
 {
     const TestServer server([](HttpServerExchange& exchange) {
