Soak servers that leave or name a rate limit in their responses

Change: the faults leave (half of them with a kill or suspension of the server's node, which excuses nothing) and limit (overlapping all other faults of the node), each with a test that its check can fail.

--- a/tests/relay/soak.py
+++ b/tests/relay/soak.py
@@ -18,6 +18,8 @@
 # Time limits of the simulated deployment, in seconds. They are not checked until SETTLE after the end of a fault.
 DRAIN, EVACUATE, SETTLE, GRACE = 2.0, 5.0, 3.0, 6.0
 COLD_PER_SECOND = 11 * 1.5 + 5
+# Seconds from the first response with a rate limit until it binds, and the window in which requests are counted.
+LIMIT_SETTLE, LIMIT_WINDOW = 3.0, 4.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -28,6 +30,7 @@
         self.responses = []  # (id, is_unsafe, status)
         self.faulted_until = {node.index: 0.0 for node in fleet.nodes}
         self.store_faulted_until = 0.0
+        self.backend_cut_until = {node.index: 0.0 for node in fleet.nodes}
         self.evacuated = None  # The zone that is evacuated.
         self.served_routes = {}  # (node, pid) -> route numbers served
         self.routes = 0
@@ -113,6 +116,8 @@
         proxy = self.random.choice([node.backend_proxy, node.store_proxy])
         seconds = self.random.uniform(0.3, 2)
         self.mark_faulted(node, seconds)
+        if proxy is node.backend_proxy:
+            self.backend_cut_until[node.index] = time.monotonic() + seconds + SETTLE
         proxy.set_mode(self.random.choice(["delay", "silent", "lose_answers", "reset"]))
         await asyncio.sleep(seconds)
         proxy.set_mode("pass")
@@ -199,19 +204,53 @@
         if worst > COLD_PER_SECOND:
             self.report_violation(f"{node.backend.instance} got {worst} requests in a second while cold")
 
+    async def leave(self, node):
+        """The server says only in its responses that it leaves, and starts anew later. Its node may be killed or
+        suspended meanwhile, which excuses nothing."""
+        begin = time.monotonic()
+        node.backend.is_leaving = True
+        await asyncio.sleep(0.5)
+        fault = self.random.choice([None, None, self.kill, self.pause])
+        if fault:
+            await fault(node)
+        await asyncio.sleep(max(0, begin + DRAIN + 1 - time.monotonic()))
+        late = [a for a in node.backend.arrivals if a[0] > begin + DRAIN]
+        if late and self.backend_cut_until[node.index] < begin:
+            self.report_violation(
+                f"{len(late)} requests reached {node.backend.instance} {DRAIN} s after it said that it leaves")
+        node.backend.is_leaving = False
+        node.backend.born += 1
+        self.fleet.register(node)
+
+    async def limit(self, node):
+        """The server names a rate limit in its responses. Other faults of its node may overlap; only one that keeps
+        the responses from the node excuses anything."""
+        limit = self.random.choice([0.4, 2.0, 6.5])
+        begin = time.monotonic()
+        node.backend.rate_limit = limit
+        await asyncio.sleep(LIMIT_SETTLE + LIMIT_WINDOW + 1)
+        node.backend.rate_limit = None
+        times = [a[0] for a in node.backend.arrivals if a[0] > begin + LIMIT_SETTLE]
+        most = max((sum(first <= t < first + LIMIT_WINDOW for t in times) for first in times), default=0)
+        if most > 1.5 * limit * LIMIT_WINDOW + 5 and self.backend_cut_until[node.index] < begin:
+            self.report_violation(
+                f"{node.backend.instance} got {most} requests in {LIMIT_WINDOW} s with a limit of {limit} a second")
+
     async def inject_faults(self):
         kinds = [self.backend_mode, self.proxy_mode, self.store_mode, self.pause, self.kill, self.stop, self.reload,
-                 self.drain, self.evacuate, self.configure, self.cold]
-        busy, tasks = set(), []
+                 self.drain, self.evacuate, self.configure, self.cold, self.leave, self.limit]
+        busy, limited, tasks = set(), set(), []
         while time.monotonic() < self.end - 1:
             await asyncio.sleep(self.random.uniform(0.05, 0.8))
             kind, node = self.random.choice(kinds), self.random.choice(self.fleet.nodes)
-            if node.index in busy:
+            # Faults of one node follow each other, except that they may fall into the time of a rate limit.
+            group = limited if kind == self.limit else busy
+            if node.index in group:
                 continue
-            busy.add(node.index)
+            group.add(node.index)
             print(f"{time.monotonic() - self.start:6.2f} s {kind.__name__} node {node.index}", flush=True)
             task = asyncio.ensure_future(kind(node))
-            task.add_done_callback(lambda _, index=node.index: busy.discard(index))
+            task.add_done_callback(lambda _, group=group, index=node.index: group.discard(index))
             tasks.append(task)
         await asyncio.gather(*tasks)
 
--- a/tests/relay/test_soak_checker.py
+++ b/tests/relay/test_soak_checker.py
@@ -150,6 +150,30 @@
         await task
         self.assertViolation("while cold")
 
+    async def test_requests_at_a_server_that_said_that_it_leaves(self):
+        saved, soak_module.DRAIN = soak_module.DRAIN, 0.1
+        self.soak.random = types.SimpleNamespace(choice=lambda options: options[0])
+        task = asyncio.ensure_future(self.soak.leave(self.node))
+        await asyncio.sleep(0.6)
+        self.assertTrue(self.node.backend.is_leaving)
+        self.ran(self.node, "late")
+        await task
+        soak_module.DRAIN = saved
+        self.assertViolation("after it said that it leaves")
+
+    async def test_a_server_that_gets_more_requests_than_its_rate_limit(self):
+        saved = soak_module.LIMIT_SETTLE, soak_module.LIMIT_WINDOW
+        soak_module.LIMIT_SETTLE, soak_module.LIMIT_WINDOW = 0.1, 0.3
+        self.soak.random = types.SimpleNamespace(choice=lambda options: options[-1])
+        task = asyncio.ensure_future(self.soak.limit(self.node))
+        await asyncio.sleep(0.2)
+        limit = self.node.backend.rate_limit
+        for number in range(int(1.5 * limit * 0.3 + 5) + 1):
+            self.ran(self.node, f"l{number}")
+        await task
+        soak_module.LIMIT_SETTLE, soak_module.LIMIT_WINDOW = saved
+        self.assertViolation("with a limit of")
+
     async def test_a_planned_stop_that_fails(self):
         self.node.process = FakeProcess(1)
         await self.soak.stop(self.node)
