--- a/snipeweir/distribution/Distributor.h
+++ b/snipeweir/distribution/Distributor.h
@@ -2,10 +2,10 @@
 
 #include "snipeweir/core/PeerDirectory.h"
 #include "snipeweir/core/Random.h"
+#include "snipeweir/core/TokenBucket.h"
 #include "snipeweir/distribution/CatchUp.h"
 #include "snipeweir/distribution/DocumentFetch.h"
 #include "snipeweir/distribution/FrameCache.h"
-#include "snipeweir/core/TokenBucket.h"
 
 #include <deque>
 
--- a/snipeweir/distribution/FrameCache.h
+++ b/snipeweir/distribution/FrameCache.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "snipeweir/core/TokenBucket.h"
 #include "snipeweir/distribution/DocumentMessages.h"
 #include "snipeweir/distribution/DocumentStore.h"
-#include "snipeweir/core/TokenBucket.h"
 
 #include <deque>
 
