Name the placement factor of rate-limited servers by what it applies to

Cause: reading the diff as a newcomer; coldFactor and isCold covered servers that name a rate limit too. Change: limitedRateFactor and hasLimitedRate; names only.

--- a/snipeweir/placing/Placement.cpp
+++ b/snipeweir/placing/Placement.cpp
@@ -14,10 +14,10 @@
     const double freshness = std::exp2(-age / halfLife);
     const double slowness
         = (load.slownessPercent * freshness + m_settings.defaultSlownessPercent * (1 - freshness)) / 100.0;
-    const bool isCold = load.startTokens < NodeLoad::unlimitedStartTokens;
+    const bool hasLimitedRate = load.startTokens < NodeLoad::unlimitedStartTokens;
 
     const auto usualServiceTime = static_cast<double>(profile.usualServiceTime.count());
-    double expectedServiceTime = usualServiceTime * slowness * (isCold ? m_settings.coldFactor : 1.0);
+    double expectedServiceTime = usualServiceTime * slowness * (hasLimitedRate ? m_settings.limitedRateFactor : 1.0);
     // The serving node delays long requests until a transient slowdown has ended.
     const auto slowdownDuration = std::chrono::duration<double, std::micro>(NodeLoad::typicalSlowdownDuration).count();
     if (load.isSlowdownTransient)
--- a/snipeweir/placing/Placement.h
+++ b/snipeweir/placing/Placement.h
@@ -46,8 +46,9 @@
         double failureCost = 2;
         /// Time that a node takes to forward a request and its response, in round trips.
         int hopRoundTrips = 4;
-        /// Service time of a cold backend server, as a multiple of the usual service time.
-        double coldFactor = 2;
+        /// Service time of a backend server with a limited rate of starts, because it is cold or names a rate limit, as
+        /// a multiple of the usual service time.
+        double limitedRateFactor = 2;
         /// Maximum age of the report of an unresponsive node, which is used when no other node is known. Saturated
         /// links lose datagrams while TCP connections over them still work; a node that is down has been unresponsive
         /// for longer.
