--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -221,6 +221,7 @@
             writer.close()
 
     async def write_endlessly(self, writer, request_id):
+        """Sends the bytes of self.endless, in the first of which {id} is replaced by the request's id."""
         begin = time.monotonic()
         first, repeated = self.endless
         try:
