Take the read-ahead limit of inbound connections from Connection

Cause: the same limit with the same reason stood twice. Change: InboundConnection uses Connection::maxBufferedBytes; the figure is the same, 128 KB. Evidence: test_faulty_servers.py passes, bodies without end from callers included; the rule test of large bodies passes.

--- a/snipeweir/relay/InboundConnection.cpp
+++ b/snipeweir/relay/InboundConnection.cpp
@@ -13,9 +13,6 @@
 
     /// Maximum time for which bytes sent to a caller may stay unacknowledged.
     constexpr std::chrono::milliseconds callerUserTimeout { 3000 };
-    /// Maximum number of bytes that are read ahead, in addition to a head of the maximum size. The size line of a chunk
-    /// and the trailer must fit.
-    constexpr size_t maxBufferedBytes = 128U << 10U;
     /// Timeout for writing one part of a streamed response.
     constexpr std::chrono::seconds partTimeout { 10 };
 
@@ -43,7 +40,7 @@
 {
     m_request.reset();
     m_bodyReservation.reset();
-    m_buffer.max_size(limits.maxHeaderBytes + maxBufferedBytes);
+    m_buffer.max_size(limits.maxHeaderBytes + Connection::maxBufferedBytes);
     if (m_buffer.size() == 0) {
         m_stream.expires_after(limits.idleTimeout);
         const auto [error, count] = co_await m_stream.async_read_some(m_buffer.prepare(4096), asTuple);
