--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,6 @@
-"""The platform's store gets another address. The settings file of each machine then names the new address, and each node
-gets SIGHUP; both addresses serve the same items for a while, then the old one is closed. A later configuration drops a
-route, and an endpoint reports draining: both must be in force within two seconds of the store's acknowledgement."""
+"""Two of 13 machines are stopped as planned (SIGTERM), several times in the run. At that time connections to the endpoints
+beside them have gone silent in the middle of an answer, and their clients are still within their deadlines. The processes have
+to end in an orderly way, as they do without the silent connections; the platform's stand-in looks at how each one ends."""
 
 import asyncio
 import os
@@ -9,67 +9,80 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-from standins2 import CONFIG_APPLY, DRAIN, STABLE_WINDOW, STORE_PORT, has_trouble, run_case  # noqa: E402
+from standins2 import STABLE_WINDOW, base, has_trouble, run_case  # noqa: E402
 
-NEW_PORT = 7319
-OVERLAP = 4.0  # Seconds for which both addresses serve.
-WATCHED = 4.0  # Seconds for which requests are sent after the bounds have passed.
+STOPS = 7  # At most; the run ends once both processes have crashed three times.
+CRASHES = 3
+GRACE = 6.0
+SENT_AFTER = 1.6  # Seconds from SIGTERM until the requests are sent; the nodes take them for 3 s.
+REQUESTS = 6  # At each of the two machines.
+DEADLINE_MS = 4000  # As that of report-sign in SYSTEM.md.
+RESPONSE_BYTES = 200_000  # The silent connections carry half of it.
 
 
-async def move_store(fleet, record):
-    moved = await asyncio.start_server(fleet.store.serve, fleet.store.ip, NEW_PORT, backlog=512)
-    record.write(f"the store also serves {fleet.store.ip}:{NEW_PORT}")
-    for node in fleet.nodes:
-        node.store_address = f"{fleet.store.ip}:{NEW_PORT}"
-        node.write_settings()
-        node.signal(signal.SIGHUP)
-    record.write("the settings files of all machines name the new address; SIGHUP to each process")
-    await asyncio.sleep(OVERLAP)
-    fleet.store.server.close()
-    fleet.store.close_connections(STORE_PORT)
-    record.write("the old address is closed")
-    return moved
+class Endpoint(base.Backend):
+    """An endpoint whose connection goes silent in the middle of an answer while is_silent is set."""
 
+    is_silent = False
 
-async def case(fleet, record):
-    routes = [fleet.route("/s/", "safe", "one"), fleet.route("/u/", "unsafe", "one"), fleet.route("/old/", "safe", "one")]
-    fleet.configure(routes)
-    await asyncio.sleep(CONFIG_APPLY + 0.5)
-    before = await fleet.send(fleet.nodes[0], "GET", "/old/x")
-    record.write(f"GET /old/x at machine 0 before: {before.status if before else 'closed'}")
-    if not before or before.status != 200:
-        raise RuntimeError("the route is not served")
-    if has_trouble():
-        await move_store(fleet, record)
-    await asyncio.sleep(STABLE_WINDOW + 1)
+    async def finish_run(self, reader, writer, fields, request_id):
+        if not self.is_silent:
+            await super().finish_run(reader, writer, fields, request_id)
+            return
+        writer.write((f"HTTP/1.1 200 X\r\nRequest-Id: {request_id}\r\nServer-Seal: seal-{self.instance}\r\n"
+                      f"Content-Length: {RESPONSE_BYTES}\r\n\r\n").encode() + self.body[:RESPONSE_BYTES // 2])
+        await writer.drain()
+        await reader.read(1)  # Until the node closes the connection.
+        raise ConnectionError
+
+
+async def stop(node, record):
+    """Returns the exit code of the process of a machine."""
+    begin = time.monotonic()
+    node.signal(signal.SIGTERM)
+    try:
+        await asyncio.wait_for(node.process.wait(), GRACE)
+    except asyncio.TimeoutError:
+        record.write(f"machine {node.index}: killed at the end of the grace")
+        await node.kill()
+    code = node.process.returncode
+    text = f"signal {signal.Signals(-code).name}" if code < 0 else f"exit code {code}"
+    record.write(f"machine {node.index}: the process ended {time.monotonic() - begin:.2f} s after SIGTERM, {text}")
+    return code
 
-    # The operator and the endpoint write to the store, which acknowledges at once.
-    fleet.configure(routes[:2])
-    leaving = fleet.nodes[2]
-    fleet.register(leaving, "draining")
-    acknowledged_at = time.monotonic()
-    record.write(f"the store acknowledges version {fleet.version:08x} without /old/ and that {leaving.backend.instance} drains")
-    await asyncio.sleep(max(CONFIG_APPLY, DRAIN) + 0.3)
-    begin, stale, sent, served = time.monotonic(), 0, 0, 0
-    while time.monotonic() < begin + WATCHED:
-        for node in fleet.nodes:
-            old = await fleet.send(node, "GET", "/old/x")
-            new = await fleet.send(node, "POST", "/u/x")
-            sent += 1
-            stale += old is not None and old.status == 200
-            served += new is not None and new.status == 200
-            record.write(f"{time.monotonic() - acknowledged_at:.2f} s after the acknowledgement, machine {node.index}: "
-                         f"/old/ {old.status if old else 'closed'}, /u/ {new.status if new else 'closed'}")
-        await asyncio.sleep(0.2)
-    late = [a for a in leaving.backend.arrivals if a[0] > begin]
-    for arrival in late:
-        record.write(f"{arrival[1]} ({arrival[2]}) reached {leaving.backend.instance} "
-                     f"{arrival[0] - acknowledged_at:.2f} s after it reported draining")
-    if served < sent // 2:
-        raise RuntimeError(f"only {served} of {sent} requests on a route that stays were served")
-    record.write(f"CONFIG: {stale} of {sent} requests ran on the dropped route; DRAIN: {len(late)} requests reached the "
-                 "leaving endpoint")
-    return stale == 0 and not late
+
+async def case(fleet, record):
+    stopped = fleet.nodes[-2:]
+    for node in stopped:
+        await node.backend.stop()
+        node.backend = Endpoint(node.backend.instance, node.service)
+        node.backend.body = b"x" * RESPONSE_BYTES
+        await node.backend.start(node.ip, base.PORTS["backend"] + 100)
+    fleet.configure([fleet.route("/s/", "safe", "one"), fleet.route("/t/", "safe", "two")])
+    crashes = {node.index: 0 for node in stopped}
+    for _ in range(STOPS):
+        await asyncio.sleep(STABLE_WINDOW + 1)
+        ends = [asyncio.ensure_future(stop(node, record)) for node in stopped]
+        await asyncio.sleep(SENT_AFTER)
+        for node in stopped:
+            node.backend.is_silent = has_trouble()
+        requests = [asyncio.ensure_future(fleet.send(node, "GET", "/t/x", deadline=DEADLINE_MS))
+                    for node in stopped for _ in range(REQUESTS)]
+        for node, code in zip(stopped, await asyncio.gather(*ends)):
+            crashes[node.index] += code not in (0, -signal.SIGKILL)
+        answers = [(response.status, len(response.body)) if response else None for response in await asyncio.gather(*requests)]
+        record.write(f"answers: {answers}")
+        if not any(answers):
+            raise RuntimeError("no request was passed on")
+        for node in stopped:
+            node.backend.is_silent = False
+            await node.start_process()
+        await fleet.wait_ready()
+        if min(crashes.values()) >= CRASHES:
+            break
+    record.write(f"processes that ended by a crash, by machine: {crashes}")
+    # "on a tenth of the machines in use (two at least) processes end by themselves three times in the day"
+    return sum(count >= CRASHES for count in crashes.values()) < 2
 
 
-sys.exit(run_case(os.path.dirname(os.path.abspath(__file__)), case, ["one", "one", "one", "two"]))
+sys.exit(run_case(os.path.dirname(os.path.abspath(__file__)), case, ["one"] * 11 + ["two"] * 2))
