--- a/review/standins2.py
+++ b/review/standins2.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import os
+import socket
 import sys
 import tempfile
 import time
@@ -73,9 +74,28 @@
                 stderr=log)
 
 
+def claim_free_subnet():
+    """Returns a subnet as claim_subnet() does, but none whose addresses a node of an interrupted run still holds."""
+    taken = []
+    try:
+        while True:
+            subnet, claim = base.claim_subnet()
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+                try:
+                    probe.bind((f"{subnet}.0.1", base.PORTS["query"]))
+                    return subnet, claim
+                except OSError:
+                    taken.append(claim)
+    finally:
+        for claim in taken:
+            claim.close()
+
+
 class Fleet(base.Fleet):
     def __init__(self, folder, services):
-        super().__init__(os.path.join(ROOT, PROGRAM), folder, services)
+        subnet, claim = claim_free_subnet()
+        super().__init__(os.path.join(ROOT, PROGRAM), folder, services, subnet)
+        self.claim = claim
         self.store = Store(self.store.ip)
         self.nodes = [Node(self, node.index, node.service, node.zone) for node in self.nodes]
 
