Destroy the coroutines of the relay before the parts that they use

Cause: the io_context has to outlive the sockets and timers of the other members, so it is destroyed last, and with it the coroutines that still wait. Their destructors use members that are gone by then: ~HttpExchange ends the run at the gate of ServerPath.

Now ~Relay destroys the pending operations, with their coroutines, while all members exist. As all paths (own server, hop, health check, store, documents, timers) hold their state in such coroutines, this holds for all of them.

--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -114,6 +114,9 @@
     m_server.onInstance = [this](const std::string& instance) { m_follower.confirmInstance(instance); };
 }
 
+// The coroutines of requests in flight end their runs at the gate and release their slots, so the members must exist.
+Relay::~Relay() { m_context.destroyOperations(); }
+
 void Relay::markLeaving(const BackendIncarnation& incarnation)
 {
     if (!m_view.markLeaving(incarnation))
--- a/snipeweir/relay/Relay.h
+++ b/snipeweir/relay/Relay.h
@@ -2,8 +2,8 @@
 
 #include "snipeweir/core/Result.h"
 #include "snipeweir/relay/CallerPath.h"
+#include "snipeweir/relay/RelayContext.h"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
 namespace snipeweir {
@@ -18,6 +18,9 @@
     /// @return The relay with all its sockets open, or ErrorCode::Unavailable if one could not be opened.
     static Result<std::unique_ptr<Relay>> create(RelaySettings settings, WireNames names, const Clock&, JsonLog&,
         const std::function<FleetSource(asio::any_io_executor)>& makeSource);
+    ~Relay();
+    Relay(const Relay&) = delete;
+    Relay& operator=(const Relay&) = delete;
 
     /// Serves requests until SIGTERM, then completes the requests in flight and returns within the stop grace period.
     void run();
@@ -56,10 +59,9 @@
     /// Passes a change of the fleet view on to the parts that depend on it.
     void onViewChanged();
 
-    // Declared before the context: destroying the context destroys coroutines that hold bodies.
     std::unique_ptr<BodyMemory> m_bodyMemory;
     // Declared before all members that use it, so that it is destroyed after them.
-    asio::io_context m_context { 1 };
+    RelayContext m_context { 1 };
     RelaySettings m_settings;
     WireNames m_names;
     const Clock& m_clock;
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -168,6 +168,36 @@
         requests, _ = await self.stop_while_another_node_sends("until_deadline", 4000)
         self.assert_answered_or_never_run(requests)
 
+    async def test_a_process_that_stops_while_operations_are_pending_crashes(self):
+        # Pending operations must not outlive the parts of the node that they use when they are destroyed.
+        self.fleet.configure([self.fleet.route("/s/", "safe", "one", "0ms"),
+                              self.fleet.route("/t/", "safe", "two", "0ms")])
+        await asyncio.sleep(2)
+        for node in self.fleet.nodes:
+            node.signal(signal.SIGTERM)
+        await asyncio.sleep(1)
+        for node in self.fleet.nodes:
+            node.backend.mode = "stall"
+        connections = []
+        for node in self.fleet.nodes:
+            for path in ("/s/x", "/t/x") * 6:
+                connections.append(KeptConnection(node))
+                await connections[-1].open()
+                # The second request of each connection waits for the response to the first.
+                connections[-1].writer.write(b"".join(
+                    f"GET {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {self.fleet.new_id()}\r\n"
+                    "Deadline-Ms: 9000\r\n\r\n".encode() for _ in range(2)))
+        await asyncio.sleep(0.5)
+        for node in self.fleet.nodes:
+            node.backend.is_health_silent = True
+        self.fleet.store.mode = "silent"
+        running = sum(node.backend.running for node in self.fleet.nodes)
+        codes = [await asyncio.wait_for(node.process.wait(), GRACE) for node in self.fleet.nodes]
+        for connection in connections:
+            connection.close()
+        self.assertGreater(running, 2 * len(self.fleet.nodes))
+        self.assertEqual(codes, [0] * len(self.fleet.nodes))
+
 
 if __name__ == "__main__":
     unittest.main()
