Hold back SIGHUP and SIGTERM while nothing handles them

The signals are now blocked before the first thread starts, delivered while the relay runs, and blocked again for the rest.

The settings watcher, which the relay calls, is declared before the relay.

--- a/programs/snipeweir-platform/Main.cpp
+++ b/programs/snipeweir-platform/Main.cpp
@@ -57,6 +57,18 @@
     std::filesystem::file_time_type m_lastWriteTime {};
 };
 
+/// Holds back the signals that the relay handles, or delivers them, to this thread and those that it starts from now
+/// on. While nothing handles them they would end the process.
+/// @param how SIG_BLOCK or SIG_UNBLOCK.
+void maskHandledSignals(int how)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(how, &signals, nullptr);
+}
+
 int run(const std::string& path, bool checkOnly)
 {
     snipeweir::platform::ProcessSettings settings;
@@ -72,6 +84,8 @@
         return 0;
 
     const snipeweir::BootClock clock;
+    // Before the thread of the log starts, so that signals are delivered only to this one.
+    maskHandledSignals(SIG_BLOCK);
     snipeweir::JsonLog log(clock, snipeweir::JsonLog::Settings(), settings.node.vm.text(), STDOUT_FILENO);
     log.logStateChange("start",
         { { "version", SNIPEWEIR_VERSION }, { "service", settings.node.service.text() },
@@ -86,6 +100,7 @@
                 settings.node.keyRevocation.mode == snipeweir::ConfigurationFreshness::Mode::RejectWhenOld ? "true"
                                                                                                            : "false" },
             { "revoke_ms", std::to_string(settings.node.keyRevocation.maxAge.count()) } });
+    SettingsFileWatcher watcher(path);
     std::unique_ptr<snipeweir::Relay> relay;
     error = snipeweir::errorOf([&]() -> snipeweir::Result<void> {
         BOOST_LEAF_ASSIGN(relay,
@@ -99,7 +114,6 @@
         log.logStateChange("start_failed", { { "error", error->message } });
         return exitStartFailed;
     }
-    SettingsFileWatcher watcher(path);
     relay->haveSettingsChanged = [&watcher] { return watcher.hasChanged(); };
     relay->reloadSettings = [&path]() -> std::optional<snipeweir::RelaySettings> {
         return snipeweir::handleErrors(
@@ -109,7 +123,9 @@
             },
             [](const snipeweir::Error&) { return std::optional<snipeweir::RelaySettings>(); });
     };
+    maskHandledSignals(SIG_UNBLOCK);
     relay->run();
+    maskHandledSignals(SIG_BLOCK);
     return 0;
 }
 
