Linger at every end of a connection, so that a response on its way is not reset

The same without a stop, after any response with "Connection: close".

Cause: the node went on reading after its last response only if a request had been rejected or bytes happened to be unread at that moment. Otherwise it closed the socket with the response in the kernel, which answers further bytes with a reset and drops what it has not sent. The end of the process did the same to all connections.

Evidence: test_closing.py on: 24 KB of 400 KB and a reset, with "written: true" in the log; with a kept connection and the end of the process, 253 and 335 KB.

InboundConnection::close() now shuts the sending side down, then reads and drops until the peer closes, at least until its kernel has acknowledged the response (9 s at most), and for 1 s more. A stopping node closes its listeners and its idle connections in this way before it ends, within half of the reserve at the end of the grace.

--- a/snipeweir/admission/StopSchedule.h
+++ b/snipeweir/admission/StopSchedule.h
@@ -25,7 +25,7 @@
         std::chrono::milliseconds serverTime { 2000 };
         /// Part of the grace period in which requests are accepted, in percent, if it is short.
         uint32_t maxAcceptPercent = 50;
-        /// Part of the grace period reserved for ending the process.
+        /// Part of the grace period reserved for closing connections and ending the process, half of it for each.
         std::chrono::milliseconds exitReserve { 700 };
         /// Time before the end of the last request in which its response is sent on.
         std::chrono::milliseconds responseReserve { 150 };
@@ -39,12 +39,16 @@
         , m_acceptUntil(stoppedAt + std::min(settings.acceptTime, grace * settings.maxAcceptPercent / 100))
         , m_serverUntil(stoppedAt + std::min(settings.serverTime, grace / 3))
         , m_end(stoppedAt + std::max(grace - settings.exitReserve, grace / 2))
+        , m_closingEnd(m_end + (stoppedAt + grace - m_end) / 2)
     {
     }
 
     /// @return Time at which requests still in flight are cut off.
     SteadyTime end() const { return m_end; }
 
+    /// @return Time until which the process may wait for connections that are being closed.
+    SteadyTime closingEnd() const { return m_closingEnd; }
+
     /// @return Time from which no request starts at the backend server beside the node.
     SteadyTime serverUntil() const { return m_serverUntil; }
 
@@ -81,6 +85,7 @@
     SteadyTime m_acceptUntil;
     SteadyTime m_serverUntil;
     SteadyTime m_end;
+    SteadyTime m_closingEnd;
 };
 
 }
--- a/snipeweir/relay/CallerConnection.cpp
+++ b/snipeweir/relay/CallerConnection.cpp
@@ -9,9 +9,6 @@
     /// Interval at which a caller's disconnect is looked for while nothing is read from its connection. A disconnect
     /// must have cancelled the requests everywhere within 500 ms.
     constexpr std::chrono::milliseconds disconnectPollInterval { 100 };
-    /// Time for which the rest of a caller's bytes is read and dropped after the last response. Closing with unread
-    /// bytes resets the connection, and the caller may then lose the response.
-    constexpr std::chrono::milliseconds discardTime { 1000 };
 
 }
 
@@ -196,6 +193,12 @@
         m_inbound.interrupt();
 }
 
+void CallerConnection::endIfIdle()
+{
+    if (m_sequencer.isIdle())
+        shutDown();
+}
+
 void CallerConnection::cancelBehind(ResponseSequencer::Position position)
 {
     const auto reason
@@ -206,11 +209,4 @@
     }
 }
 
-asio::awaitable<void> CallerConnection::close()
-{
-    if (!m_hasPeerClosed && (m_inbound.rejectionStatus() != 0 || m_inbound.hasUnreadBytes()))
-        co_await m_inbound.discardInput(discardTime);
-    m_inbound.close();
-}
-
 }
--- a/snipeweir/relay/CallerConnection.h
+++ b/snipeweir/relay/CallerConnection.h
@@ -43,9 +43,12 @@
     /// @return False if another coroutine reads now.
     bool endServing() { return std::exchange(m_isReaderServing, false); }
 
-    /// Closes the connection so that a response that was written is not lost: reads and drops what the caller still
-    /// sends for a short time. Called once, by the coroutine that reads.
-    asio::awaitable<void> close();
+    /// Ends the connection unless a request is in progress: the coroutine that reads then closes it.
+    void endIfIdle();
+
+    /// Closes the connection without losing a response; see InboundConnection::close. Called once, by the coroutine
+    /// that reads.
+    asio::awaitable<void> close() { return m_inbound.close(); }
 
 private:
     friend class RequestConnection;
--- a/snipeweir/relay/CallerPath.h
+++ b/snipeweir/relay/CallerPath.h
@@ -12,6 +12,8 @@
 #include "snipeweir/routes/TrafficSplitter.h"
 #include "snipeweir/telemetry/Metrics.h"
 
+#include <unordered_map>
+
 namespace snipeweir {
 
 /// Serves the callers on this VM. Finds the route of each request, chooses a backend server, sends the request to the
@@ -55,6 +57,10 @@
     /// requests that the schedule does not accept. Those in flight are completed.
     void startDraining(const StopSchedule& schedule) { m_stopSchedule = schedule; }
 
+    /// Closes the connections that have no request in progress, before the process ends. Call once no connection is
+    /// accepted any more.
+    void closeIdleCallers();
+
     /// Called when a response says that its backend server leaves, at most once for each response.
     std::function<void(const BackendIncarnation&)> onLeaving;
 
@@ -64,6 +70,9 @@
     /// @return Number of requests in flight.
     size_t inFlight() const { return m_inFlight; }
 
+    /// @return Number of connections that are being closed; their callers may still wait for a response on its way.
+    size_t closingConnections() const { return m_closingConnections; }
+
     const Counters& counters() const { return m_counters; }
 
 private:
@@ -73,6 +82,7 @@
     /// Reads the requests of a connection and starts to serve them, until the connection ends or another coroutine
     /// continues to read.
     asio::awaitable<void> readRequests(std::shared_ptr<CallerConnection>);
+    asio::awaitable<void> closeConnection(CallerConnection&);
     /// Serves a request that was read while earlier ones of its connection were in progress.
     asio::awaitable<void> servePipelined(std::shared_ptr<RequestConnection>);
     asio::awaitable<void> serveRequest(RequestConnection&);
@@ -133,6 +143,9 @@
     std::map<std::string, LateRequestDetector> m_lateRequestDetectors;
     Counters m_counters;
     size_t m_inFlight = 0;
+    /// Connections that are not being closed.
+    std::unordered_map<const CallerConnection*, std::weak_ptr<CallerConnection>> m_connections;
+    size_t m_closingConnections = 0;
     /// Set when the node was told to stop.
     std::optional<StopSchedule> m_stopSchedule;
 };
--- a/snipeweir/relay/CallerPipeline.cpp
+++ b/snipeweir/relay/CallerPipeline.cpp
@@ -25,9 +25,26 @@
         if (auto current = weak.lock())
             asio::co_spawn(m_executor, readRequests(std::move(current)), asio::detached);
     };
+    m_connections.emplace(connection.get(), connection);
     return readRequests(std::move(connection));
 }
 
+void CallerPath::closeIdleCallers()
+{
+    for (const auto& [key, weak] : m_connections) {
+        if (const auto connection = weak.lock())
+            connection->endIfIdle();
+    }
+}
+
+asio::awaitable<void> CallerPath::closeConnection(CallerConnection& connection)
+{
+    m_connections.erase(&connection);
+    ++m_closingConnections;
+    co_await connection.close();
+    --m_closingConnections;
+}
+
 asio::awaitable<void> CallerPath::readRequests(std::shared_ptr<CallerConnection> connection)
 {
     for (;;) {
@@ -59,7 +76,7 @@
         if (!connection->endServing())
             co_return;
     }
-    co_await connection->close();
+    co_await closeConnection(*connection);
 }
 
 asio::awaitable<void> CallerPath::servePipelined(std::shared_ptr<RequestConnection> request)
--- a/snipeweir/relay/InboundConnection.cpp
+++ b/snipeweir/relay/InboundConnection.cpp
@@ -3,7 +3,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace snipeweir {
@@ -14,9 +16,15 @@
 
     /// Maximum time for which bytes sent to a caller may stay unacknowledged.
     constexpr std::chrono::milliseconds callerUserTimeout { 3000 };
-    /// Time for which the rest of a rejected request is read: enough for a peer on the same VM or data centre to notice
-    /// the response, and too short to be used as a way to hold connections open.
-    constexpr size_t discardBufferBytes = 16U << 10U;
+    /// Time for which bytes are dropped once the peer's kernel has the response: enough for a peer on the same VM or
+    /// data centre to notice the end of the connection, and too short to be used as a way to hold connections open.
+    constexpr std::chrono::milliseconds lingerTime { 1000 };
+    /// Maximum time for which bytes are dropped until the peer's kernel has the response.
+    constexpr std::chrono::milliseconds maxDeliveryTime { 9000 };
+    constexpr std::chrono::milliseconds deliveryPollInterval { 20 };
+    constexpr size_t dropBufferBytes = 16U << 10U;
+    /// Maximum number of buffers that are dropped without waiting: all that the kernel holds for a connection.
+    constexpr size_t maxDropsAtOnce = Connection::receiveBufferBytes / dropBufferBytes;
     /// Timeout for writing one part of a streamed response.
     constexpr std::chrono::seconds partTimeout { 10 };
 
@@ -171,8 +179,6 @@
     m_stream.socket().cancel(ignored);
 }
 
-bool InboundConnection::hasUnreadBytes() { return hasBufferedBytes() || peek() == Readable::Bytes; }
-
 bool InboundConnection::hasPeerClosed()
 {
     pollfd descriptor { m_stream.socket().native_handle(), POLLRDHUP, 0 };
@@ -244,28 +250,45 @@
     }
 }
 
-void InboundConnection::close()
+bool InboundConnection::dropArrivedBytes()
 {
-    error_code ignored; // The peer may have closed first.
-    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    m_stream.close();
+    std::array<char, dropBufferBytes> dropped; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    for (size_t i = 0; i < maxDropsAtOnce; ++i) {
+        const auto count = ::recv(m_stream.socket().native_handle(), dropped.data(), dropped.size(), MSG_DONTWAIT);
+        if (count <= 0)
+            return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    }
+    return true;
 }
 
-asio::awaitable<void> InboundConnection::discardInput(std::chrono::milliseconds limit)
+bool InboundConnection::hasUnacknowledgedOutput()
 {
-    error_code ignored; // The peer may have closed first; reading then ends at once.
+    int bytes = 0;
+    return ::ioctl(m_stream.socket().native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
+asio::awaitable<void> InboundConnection::close()
+{
+    error_code ignored; // The peer may have closed first; dropping bytes then ends at once.
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     m_buffer.clear();
-    const SteadyTime deadline = BootTime::now() + limit;
-    for (;;) {
-        // The stream's timer ends a read only while no bytes arrive.
-        if (BootTime::now() >= deadline)
-            break;
-        expireAt(m_stream, deadline);
-        const auto [error, count] = co_await m_stream.async_read_some(m_buffer.prepare(discardBufferBytes), asTuple);
-        if (error)
-            break;
+    m_buffer.shrink_to_fit();
+    Timer timer(executor());
+    bool isOpen = dropArrivedBytes();
+    const SteadyTime deliveryEnd = BootTime::now() + maxDeliveryTime;
+    while (isOpen && hasUnacknowledgedOutput() && BootTime::now() < deliveryEnd) {
+        timer.expires_after(deliveryPollInterval);
+        co_await timer.async_wait(asTuple);
+        isOpen = dropArrivedBytes();
     }
+    const SteadyTime lingerEnd = BootTime::now() + lingerTime;
+    while (isOpen && BootTime::now() < lingerEnd) {
+        // The stream's timer closes it if no bytes arrive.
+        expireAt(m_stream, lingerEnd);
+        const auto [error, count] = co_await m_stream.async_read_some(m_buffer.prepare(dropBufferBytes), asTuple);
+        isOpen = !error;
+    }
+    m_stream.close();
 }
 
 }
--- a/snipeweir/relay/InboundConnection.h
+++ b/snipeweir/relay/InboundConnection.h
@@ -80,14 +80,8 @@
 
     /// @return Whether bytes of the next request have already been read.
     bool hasBufferedBytes() const { return m_buffer.size() > 0; }
-    /// @return Whether there are bytes that were read or received and belong to no request so far.
-    bool hasUnreadBytes();
     /// @return Whether the peer has closed the connection, also if there are unread bytes before its end.
     bool hasPeerClosed();
-    /// Shuts down the sending side, then reads and drops what the peer still sends until it closes the connection.
-    /// Closing with unread bytes would reset the connection, and the peer could lose the response.
-    /// @param limit Maximum time for which bytes are dropped.
-    asio::awaitable<void> discardInput(std::chrono::milliseconds limit);
 
     asio::any_io_executor executor() { return m_stream.get_executor(); }
 
@@ -106,8 +100,12 @@
     /// @return Whether another request may follow on the connection.
     bool isKeepAlive() const { return m_form.isKeepAlive; }
 
-    /// Closes the connection after the last response has been sent.
-    void close();
+    /// Closes the connection without losing a response that is still on its way: shuts down the sending side, then
+    /// reads and drops what the peer still sends, until the peer has closed its side or has had the response for a
+    /// while (RFC 9112, section 9.6). Closing the socket at once would answer any further bytes of the peer with a
+    /// reset, which discards what has not been sent and what the peer has not read. Takes 10 s at most. There must be
+    /// no other operation on the connection.
+    asio::awaitable<void> close();
 
 private:
     struct Watch {
@@ -117,6 +115,11 @@
 
     /// @return What can be read now; Interrupted if the connection is open and there are no bytes.
     Readable peek();
+    /// Reads and drops bytes that have arrived, up to a limit.
+    /// @return False if the peer has closed the connection.
+    bool dropArrivedBytes();
+    /// @return Whether the peer's kernel has not yet acknowledged all that was sent.
+    bool hasUnacknowledgedOutput();
     void continueWatching();
     asio::awaitable<bool> write(const std::string& first, const std::string& second, SteadyTime deadline);
     void finishHead(std::string& head);
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -19,8 +19,6 @@
     /// Polling interval; changed settings must be in force within two seconds.
     constexpr std::chrono::milliseconds settingsPollInterval { 1000 };
     constexpr std::chrono::milliseconds peerWriteTimeout { 5000 };
-    /// Time for which the rest of a rejected request of another node is read and dropped.
-    constexpr std::chrono::milliseconds peerDiscardTime { 1000 };
 
     uint64_t randomSeed()
     {
@@ -205,7 +203,14 @@
         co_await servePeerRequest(connection);
         --m_peerRequestsInFlight;
     }
-    connection.close();
+    co_await close(connection);
+}
+
+asio::awaitable<void> Relay::close(InboundConnection& connection)
+{
+    ++m_closingConnections;
+    co_await connection.close();
+    --m_closingConnections;
 }
 
 asio::awaitable<void> Relay::servePeerRequest(InboundConnection& connection)
@@ -245,7 +250,6 @@
 {
     co_await connection.writeComplete(
         hop_codec::responseHead(Response::notRun(Reason::BodyMemory)), std::string(), m_clock.now() + peerWriteTimeout);
-    co_await connection.discardInput(peerDiscardTime);
 }
 
 asio::awaitable<void> Relay::serveStatus(asio::ip::tcp::socket socket)
@@ -267,7 +271,7 @@
         }
         co_await connection.writeComplete(hop_codec::statusLine(status), body, deadline);
     }
-    connection.close();
+    co_await close(connection);
 }
 
 asio::awaitable<void> Relay::handleSignals()
@@ -335,6 +339,17 @@
         if (m_clock.now() >= schedule.serverUntil())
             m_server.stopTakingRequests();
     } while (!schedule.mayExit(m_clock.now(), m_callers.inFlight() == 0 && m_peerRequestsInFlight == 0));
+    // The end of the process closes its sockets at once. A response that is still on its way would be lost with a
+    // connection on which the caller sends more.
+    for (asio::ip::tcp::acceptor& acceptor : m_acceptors) {
+        error_code ignored; // Nothing is accepted any more in any case.
+        acceptor.close(ignored);
+    }
+    m_callers.closeIdleCallers();
+    do {
+        timer.expires_after(drainPollInterval);
+        co_await timer.async_wait(asTuple);
+    } while (m_callers.closingConnections() + m_closingConnections > 0 && m_clock.now() < schedule.closingEnd());
     m_log.logStateChange("stopped", { { "in_flight", std::to_string(m_callers.inFlight() + m_peerRequestsInFlight) } });
     m_context.stop();
 }
--- a/snipeweir/relay/Relay.h
+++ b/snipeweir/relay/Relay.h
@@ -49,6 +49,8 @@
     asio::awaitable<void> servePeerRequest(InboundConnection&);
     /// Responds to a request of another node whose body does not fit into the memory.
     asio::awaitable<void> rejectPeerRequest(InboundConnection&);
+    /// Closes a connection of another node or of the platform; see InboundConnection::close.
+    asio::awaitable<void> close(InboundConnection&);
     asio::awaitable<void> handleSignals();
     asio::awaitable<void> watchSettings();
     asio::awaitable<void> drain();
@@ -79,6 +81,7 @@
     /// Organisations whose limits the quotas have.
     std::shared_ptr<const OrganisationTable> m_organisations;
     size_t m_peerRequestsInFlight = 0;
+    size_t m_closingConnections = 0;
     /// Set when the node was told to stop.
     std::optional<StopSchedule> m_stopSchedule;
 };
--- a/tests/admission/StopScheduleTests.cpp
+++ b/tests/admission/StopScheduleTests.cpp
@@ -17,7 +17,8 @@
 {
     for (const auto grace : { 1000ms, 3000ms, 6000ms, 10'000ms, 60'000ms }) {
         const StopSchedule schedule = scheduleWith(grace);
-        CHECK(schedule.end() < stop + grace);
+        CHECK(schedule.end() < schedule.closingEnd());
+        CHECK(schedule.closingEnd() < stop + grace);
         for (auto after = 0ms; after <= grace; after += 50ms) {
             for (const auto timeout : { 100ms, 600ms, 2500ms, 6000ms, 60'000ms }) {
                 const auto accepted = schedule.accept(stop + after, stop + after + timeout, 500ms);
--- /dev/null
+++ b/tests/relay/test_closing.py
@@ -0,0 +1,164 @@
+"""Tests with real node processes that a caller gets its response although the node closes the connection, and the caller
+sends more, while the response is on its way.
+
+Usage: test_closing.py PROGRAM [unittest arguments]"""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from fleet import Fleet, PORTS  # noqa: E402
+
+PROGRAM = sys.argv.pop(1) if len(sys.argv) > 1 else "build/bin/snipeweir-platform"
+WINDOW = 16_384  # Receive buffer of the callers, so that the rest of a response is in the node's kernel.
+BODY_BYTES = 400_000
+GRACE = 6.0
+
+
+class SlowCaller:
+    """A caller's connection that carries a limited number of bytes per second to the caller."""
+
+    async def open(self, node, bytes_per_second=1_000_000):
+        self.loop, self.bytes_per_second = asyncio.get_running_loop(), bytes_per_second
+        self.connection = socket.socket()
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW)
+        self.connection.setblocking(False)
+        await self.loop.sock_connect(self.connection, (node.ip, PORTS["callers"]))
+        self.received, self.end = b"", None
+        return self
+
+    def send(self, data):
+        self.connection.send(data)
+
+    async def read(self, end=None):
+        """Reads until the received bytes end with the given ones, or until the connection ends: closed or reset."""
+        while not (end and self.received.endswith(end)):
+            try:
+                data = await asyncio.wait_for(self.loop.sock_recv(self.connection, 8192), 8)
+            except OSError:
+                self.end = "reset"
+                return
+            if not data:
+                self.end = "closed"
+                return
+            self.received += data
+            await asyncio.sleep(len(data) / self.bytes_per_second)
+
+    def bodies(self):
+        """Returns the lengths of the bodies that were received, of which the last may be cut."""
+        lengths, rest = [], self.received
+        while rest:
+            head, _, rest = rest.partition(b"\r\n\r\n")
+            fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if b": " in line)
+            body = rest[:int(fields.get(b"content-length", len(rest)))]
+            lengths.append(len(body))
+            rest = rest[len(body):]
+        return lengths
+
+
+class ClosingTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.fleet = Fleet(PROGRAM, self.folder.name, ["one", "two"])
+        for node in self.fleet.nodes:
+            node.backend.body = b"x" * BODY_BYTES
+            node.backend.slots = 100  # So that no request is refused for lack of a slot.
+        await self.fleet.start()
+        await self.configure()
+        self.server, self.node = self.fleet.nodes
+        self.callers = []
+
+    async def asyncTearDown(self):
+        for caller in self.callers:
+            caller.connection.close()
+        await self.fleet.stop()
+        self.folder.cleanup()
+
+    async def configure(self):
+        self.fleet.configure([self.fleet.route("/s/", "safe", "one", "9000ms"),
+                              self.fleet.route("/t/", "safe", "two", "9000ms")])
+        await asyncio.sleep(2)
+
+    async def open(self, *arguments):
+        self.callers.append(await SlowCaller().open(self.node, *arguments))
+        return self.callers[-1]
+
+    def request(self, path="/s/x", fields="", version="1.1"):
+        return (f"GET {path} HTTP/{version}\r\nHost: h.example\r\nRequest-Id: {self.fleet.new_id()}\r\n"
+                f"Deadline-Ms: 9000\r\n{fields}\r\n").encode()
+
+    async def test_a_response_that_closes_the_connection_is_cut_by_a_further_request(self):
+        for path in ("/s/x", "/t/x"):  # A server behind another node, and the one beside this node.
+            with self.subTest(path):
+                caller = await self.open()
+                caller.send(self.request(path, "Connection: close\r\n"))
+                await asyncio.sleep(0.3)
+                caller.send(self.request(path))
+                await asyncio.sleep(0.1)
+                caller.send(self.request(path))
+                await caller.read()
+                self.assertEqual((caller.bodies(), caller.end), ([BODY_BYTES], "closed"))
+
+    async def test_a_response_in_a_planned_stop_is_cut_by_a_further_request(self):
+        self.node.signal(signal.SIGTERM)
+        await asyncio.sleep(0.3)
+        callers = [await self.open() for _ in range(8)]
+        for caller in callers:
+            caller.send(self.request())
+        for caller in callers:
+            await asyncio.sleep(0.04)
+            caller.send(self.request())
+        await asyncio.gather(*(caller.read() for caller in callers))
+        for caller in callers:
+            self.assertEqual((caller.bodies(), caller.end), ([BODY_BYTES], "closed"))
+        self.assertEqual(await asyncio.wait_for(self.node.process.wait(), GRACE), 0)
+
+    async def test_a_response_on_a_kept_connection_is_cut_by_the_end_of_the_process(self):
+        callers = [await self.open(250_000) for _ in range(4)]
+        self.node.signal(signal.SIGTERM)
+        begin = time.monotonic()
+        await asyncio.sleep(2.0)
+        for caller in callers:
+            caller.send(self.request())
+        reads = [asyncio.ensure_future(caller.read()) for caller in callers]
+        while time.monotonic() < begin + 3.1:  # The process may end after 2.6 s if it is idle.
+            await asyncio.sleep(0.1)
+        for caller in callers:
+            caller.send(self.request())
+        await asyncio.gather(*reads)
+        for caller in callers:
+            self.assertEqual((caller.bodies(), caller.end), ([BODY_BYTES], "closed"))
+        self.assertEqual(await asyncio.wait_for(self.node.process.wait(), GRACE), 0)
+
+    async def test_a_response_before_the_stop_is_cut_by_the_end_of_the_process(self):
+        caller = await self.open(100_000)
+        caller.send(self.request())
+        read = asyncio.ensure_future(caller.read())
+        await asyncio.sleep(0.5)
+        self.node.signal(signal.SIGTERM)
+        await asyncio.sleep(2.9)
+        caller.send(self.request())
+        await read
+        self.assertEqual((caller.bodies(), caller.end), ([BODY_BYTES], "closed"))
+        self.assertEqual(await asyncio.wait_for(self.node.process.wait(), GRACE), 0)
+
+    async def test_a_complete_response_is_cut_by_one_behind_it_that_breaks_off(self):
+        self.node.backend.mode = "cut"
+        caller = await self.open()
+        for path in ("/s/x", "/t/x", "/s/x"):
+            caller.send(self.request(path))
+            await asyncio.sleep(0.3)
+        await caller.read()
+        bodies = caller.bodies()
+        self.assertEqual((bodies[0], caller.end), (BODY_BYTES, "closed"))
+        self.assertLess(bodies[1], BODY_BYTES)
+
+
+if __name__ == "__main__":
+    unittest.main()
