Keep a connection's socket open when a time limit of reading ends

A slow caller whose response was still on its way when the idle time ended lost the rest of it with its next request, and a caller that sent its request too slowly never got the 408 that the node wrote.

Cause: the time limits were those of Beast's stream, which close the socket. Reading now has a timer that only ends the read, so that the connection is closed like any other; the idle time begins when the caller's kernel has the response before. The timer keeps running from one request to the next and is set again only for an earlier deadline.

--- a/snipeweir/relay/InboundConnection.cpp
+++ b/snipeweir/relay/InboundConnection.cpp
@@ -44,17 +44,17 @@
 InboundConnection::InboundConnection(asio::ip::tcp::socket socket, BodyMemory& memory)
     : m_stream(std::move(socket))
     , m_memory(memory)
+    , m_readTimer(m_stream.get_executor())
 {
     setTcpOptions(m_stream.socket(), callerUserTimeout);
 }
 
 asio::awaitable<InboundConnection::ReadResult> InboundConnection::read(CallerLimits limits, const ReadAhead* readAhead)
 {
+    m_hasReadTimedOut = false;
     const auto limitTime = [&](std::chrono::milliseconds limit) {
-        if (readAhead && readAhead->hasEarlierRequests())
-            m_stream.expires_never();
-        else
-            m_stream.expires_after(limit);
+        const bool isLimited = !readAhead || !readAhead->hasEarlierRequests();
+        setReadDeadline(isLimited ? BootTime::now() + limit : SteadyTime::max());
     };
     const std::function<void()> limitBodyTime = [&] { limitTime(limits.headerTimeout); };
     const auto reject = [&](unsigned status) {
@@ -71,9 +71,13 @@
     m_buffer.max_size(limits.maxHeaderBytes + Connection::maxBufferedBytes);
     if (m_buffer.size() == 0) {
         limitTime(limits.idleTimeout);
+        m_idleTimeout = limits.idleTimeout;
         const auto [error, count] = co_await m_stream.async_read_some(m_buffer.prepare(4096), asTuple);
-        if (error)
+        m_idleTimeout.reset();
+        if (error) {
+            setReadDeadline(SteadyTime::max());
             co_return ReadResult::Closed;
+        }
         m_buffer.commit(count);
     }
 
@@ -88,8 +92,10 @@
         if (parser.content_length() && !expectsContinue)
             length = *parser.content_length();
         const bool isOpen = co_await readAhead->waitForBody(length);
-        if (!isOpen)
+        if (!isOpen) {
+            setReadDeadline(SteadyTime::max());
             co_return ReadResult::Closed;
+        }
     }
     BodyReader reader(m_memory);
     bool hasMemory = error || reader.reserve(parser);
@@ -101,6 +107,9 @@
         error = co_await reader.read(m_stream, m_buffer, parser, limitBodyTime);
         hasMemory = error != asio::error::no_memory;
     }
+    setReadDeadline(SteadyTime::max());
+    if (error && m_hasReadTimedOut)
+        error = beast::error::timeout;
     if (m_buffer.size() == 0)
         m_buffer.shrink_to_fit();
     if (!hasMemory) {
@@ -120,10 +129,42 @@
         respondTo(m_readForm);
     if (reader.size() > 0)
         m_body = reader.take();
-    m_stream.expires_never();
     co_return ReadResult::Request;
 }
 
+void InboundConnection::setReadDeadline(SteadyTime deadline)
+{
+    m_readDeadline = deadline;
+    // An earlier expiry of the timer waits again.
+    if (deadline < m_readTimerAt)
+        waitForReadDeadline();
+}
+
+void InboundConnection::waitForReadDeadline()
+{
+    m_readTimerAt = m_readDeadline;
+    m_readTimer.expires_at(m_readDeadline);
+    m_readTimer.async_wait([this, lifetime = std::weak_ptr(m_lifetime)](const error_code& error) {
+        if (!error && !lifetime.expired())
+            onReadDeadline();
+    });
+}
+
+void InboundConnection::onReadDeadline()
+{
+    m_readTimerAt = SteadyTime::max();
+    // The idle time begins when the peer has the response before.
+    if (BootTime::now() >= m_readDeadline && m_idleTimeout && hasUnacknowledgedOutput())
+        m_readDeadline = BootTime::now() + *m_idleTimeout;
+    if (BootTime::now() < m_readDeadline) {
+        if (m_readDeadline < SteadyTime::max())
+            waitForReadDeadline();
+        return;
+    }
+    m_hasReadTimedOut = true;
+    interrupt();
+}
+
 InboundConnection::Readable InboundConnection::peek()
 {
     char byte = 0;
--- a/snipeweir/relay/InboundConnection.h
+++ b/snipeweir/relay/InboundConnection.h
@@ -115,6 +115,10 @@
 
     /// @return What can be read now; Interrupted if the connection is open and there are no bytes.
     Readable peek();
+    /// Sets the time at which interrupt() ends the current read; SteadyTime::max() for no limit.
+    void setReadDeadline(SteadyTime);
+    void waitForReadDeadline();
+    void onReadDeadline();
     /// Reads and drops bytes that have arrived, up to a limit.
     /// @return False if the peer has closed the connection.
     bool dropArrivedBytes();
@@ -131,6 +135,18 @@
     std::shared_ptr<const RequestBody> m_body;
     unsigned m_rejectionStatus = 0;
     std::shared_ptr<Watch> m_watch;
+
+    // Time limit of reads. The timer is left running when a read ends, since most deadlines are later than the one
+    // before. Beast's own time limit would close the socket, and with it a response that is still on its way.
+    Timer m_readTimer;
+    SteadyTime m_readDeadline = SteadyTime::max();
+    SteadyTime m_readTimerAt = SteadyTime::max();
+    bool m_hasReadTimedOut = false;
+    /// Set while the first byte of a request is awaited.
+    std::optional<std::chrono::milliseconds> m_idleTimeout;
+    /// Expires with this object.
+    std::shared_ptr<const bool> m_lifetime = std::make_shared<bool>(true);
+
     ResponseForm m_readForm;
     ResponseForm m_form;
 };
--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -510,6 +510,7 @@
         self.version = 1
         self.more_bounds = {}  # Bounds of the settings beside BOUNDS.
         self.max_body = 1048576
+        self.idle_timeout = "15000ms"
         self.next_id = 0
 
     async def start(self, with_config=True):
@@ -574,7 +575,7 @@
                     for name in sorted({node.service for node in self.nodes})]
         limits = [{"typeUrl": "limits", "metadata": {},
                    "spec": {"maxHeaderBytes": 16384, "maxBodyBytes": self.max_body, "headerTimeout": "3000ms",
-                            "idleTimeout": "15000ms"}}]
+                            "idleTimeout": self.idle_timeout}}]
         self.store.put("op/config", json.dumps(
             {"version": f"{self.version:08x}", "resources": routes + services + limits + list(organisations)}).encode())
 
--- a/tests/relay/test_closing.py
+++ b/tests/relay/test_closing.py
@@ -18,6 +18,7 @@
 PROGRAM = sys.argv.pop(1) if len(sys.argv) > 1 else "build/bin/snipeweir-platform"
 WINDOW = 16_384  # Receive buffer of the callers, so that the rest of a response is in the node's kernel.
 BODY_BYTES = 400_000
+IDLE_TIMEOUT = 1.0
 GRACE = 6.0
 
 
@@ -85,6 +86,10 @@
                               self.fleet.route("/t/", "safe", "two", "9000ms")])
         await asyncio.sleep(2)
 
+    async def set_idle_timeout(self):
+        self.fleet.idle_timeout = f"{int(IDLE_TIMEOUT * 1000)}ms"
+        await self.configure()
+
     async def open(self, *arguments):
         self.callers.append(await SlowCaller().open(self.node, *arguments))
         return self.callers[-1]
@@ -159,6 +164,39 @@
         self.assertEqual((bodies[0], caller.end), (BODY_BYTES, "closed"))
         self.assertLess(bodies[1], BODY_BYTES)
 
+    async def test_a_response_on_its_way_is_cut_by_the_idle_timeout(self):
+        await self.set_idle_timeout()
+        caller = await self.open(200_000)
+        caller.send(self.request())
+        read = asyncio.ensure_future(caller.read())
+        await asyncio.sleep(IDLE_TIMEOUT + 0.5)
+        caller.send(self.request())
+        await read
+        self.assertEqual((caller.bodies(), caller.end), ([BODY_BYTES] * 2, "closed"))
+
+    async def test_an_idle_connection_stays_open(self):
+        await self.set_idle_timeout()
+        caller = await self.open()
+        begin = time.monotonic()
+        await caller.read()
+        self.assertEqual(caller.end, "closed")
+        self.assertGreater(time.monotonic() - begin, IDLE_TIMEOUT - 0.1)
+        self.assertLess(time.monotonic() - begin, IDLE_TIMEOUT + 0.5)
+
+    async def test_an_incomplete_request_gets_no_408(self):
+        for more in (b"", b"X-Filler: x\r\n"):
+            caller = await self.open()
+            caller.send(self.request()[:-2])
+            read = asyncio.ensure_future(caller.read())
+            for _ in range(40):
+                await asyncio.sleep(0.1)
+                if caller.end:
+                    break
+                caller.send(more)
+            await read
+            self.assertIn(b"HTTP/1.1 408 ", caller.received[:20])
+            self.assertEqual(caller.end, "closed")
+
 
 if __name__ == "__main__":
     unittest.main()
