Reset the connection of a body without length that breaks off

A caller that speaks HTTP/1.0 takes the end of the connection for the end of a body without length. When such a response broke off at the server, the node closed the connection in order, so the part looked complete.

The socket is now set to be reset by whatever closes it, also the end of the process, until such a body has been written to its end.

--- a/snipeweir/relay/InboundConnection.cpp
+++ b/snipeweir/relay/InboundConnection.cpp
@@ -233,6 +233,14 @@
     head.append("\r\n");
 }
 
+void InboundConnection::setResetOnClose(bool isReset)
+{
+    m_isResetOnClose = isReset;
+    // The destructor of Asio's socket would take back an option that was set through the socket.
+    const linger option { isReset ? 1 : 0, 0 };
+    ::setsockopt(m_stream.socket().native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 asio::awaitable<bool> InboundConnection::write(const std::string& first, const std::string& second, SteadyTime deadline)
 {
     expireAt(m_stream, deadline);
@@ -265,6 +273,10 @@
     else
         m_form.isKeepAlive = false;
     finishHead(head);
+    const bool isDelimitedByClose = !length && !isChunked;
+    // An orderly end within such a body would make it look complete.
+    if (isDelimitedByClose)
+        setResetOnClose(true);
 
     HttpExchange::StepResult end = HttpExchange::StepResult::More;
     for (;;) {
@@ -279,8 +291,11 @@
             body.append("0\r\n\r\n");
         if (!co_await write(head, body, clock.now() + partTimeout))
             co_return false;
-        if (isLast)
+        if (isLast) {
+            if (isDelimitedByClose)
+                setResetOnClose(false);
             co_return true;
+        }
         head.clear();
         body.clear();
         end = co_await rest.readBody(body, deadline);
@@ -310,6 +325,10 @@
 
 asio::awaitable<void> InboundConnection::close()
 {
+    if (m_isResetOnClose) {
+        m_stream.close();
+        co_return;
+    }
     error_code ignored; // The peer may have closed first; dropping bytes then ends at once.
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     m_buffer.clear();
--- a/snipeweir/relay/InboundConnection.h
+++ b/snipeweir/relay/InboundConnection.h
@@ -127,6 +127,8 @@
     void continueWatching();
     asio::awaitable<bool> write(const std::string& first, const std::string& second, SteadyTime deadline);
     void finishHead(std::string& head);
+    /// Makes every way in which the connection can be closed, also by the end of the process, reset it or not.
+    void setResetOnClose(bool);
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
@@ -147,6 +149,7 @@
     /// Expires with this object.
     std::shared_ptr<const bool> m_lifetime = std::make_shared<bool>(true);
 
+    bool m_isResetOnClose = false;
     ResponseForm m_readForm;
     ResponseForm m_form;
 };
--- a/tests/relay/test_closing.py
+++ b/tests/relay/test_closing.py
@@ -197,6 +197,15 @@
             self.assertIn(b"HTTP/1.1 408 ", caller.received[:20])
             self.assertEqual(caller.end, "closed")
 
+    async def test_a_truncated_response_without_length_looks_complete(self):
+        # The end of the connection ends the body for a caller that knows no chunked coding.
+        for mode, end in (("unframed_reset", "reset"), ("unframed", "closed")):
+            self.server.backend.mode = mode
+            caller = await self.open()
+            caller.send(self.request(version="1.0"))
+            await caller.read()
+            self.assertEqual(caller.end, end)
+
 
 if __name__ == "__main__":
     unittest.main()
