--- a/snipeweir/relay/DocumentFetcher.cpp
+++ b/snipeweir/relay/DocumentFetcher.cpp
@@ -17,7 +17,10 @@
     /// Time for one tree level to receive a document, and attempts in addition to the level of the source.
     constexpr std::chrono::milliseconds levelDelay { 120 };
     constexpr uint32_t extraAttempts = 2;
-    constexpr uint64_t maxDocumentBytes = 64U << 20U;
+    /// Maximum size of a document; those of 3,500 nodes have about 1 MB.
+    constexpr uint64_t maxDocumentBytes = 16U << 20U;
+    /// Maximum number of compressed bytes that all attempts of a fetch hold.
+    constexpr size_t maxReceivedBytes = 8U << 20U;
 
     std::optional<std::string> decompress(std::string_view compressed)
     {
@@ -160,8 +163,12 @@
     fetch->receiving += isWanted ? 1 : 0;
     std::string compressed;
     StepResult end = StepResult::More;
-    while (end == StepResult::More && !(isWanted && fetch->document))
+    while (end == StepResult::More && !(isWanted && fetch->document) && fetch->receivedBytes <= maxReceivedBytes) {
+        const size_t before = compressed.size();
         end = co_await exchange.readBody(compressed, deadline);
+        fetch->receivedBytes += compressed.size() - before;
+    }
+    fetch->receivedBytes -= compressed.size();
     fetch->receiving -= isWanted ? 1 : 0;
     if (end != StepResult::Complete || !isWanted)
         co_return std::nullopt;
--- a/snipeweir/relay/DocumentFetcher.h
+++ b/snipeweir/relay/DocumentFetcher.h
@@ -87,6 +87,8 @@
         /// Whether the announcer was asked once more, on another connection: the first one may have gone silent for
         /// good.
         bool hasAskedAgain = false;
+        /// Bytes that the attempts in progress have received.
+        size_t receivedBytes = 0;
         std::optional<Fetched> document;
         size_t attempts = 0;
         /// Attempts that have not ended, and those of them that are receiving the document.
--- /dev/null
+++ b/tests/relay/test_response_memory.py
@@ -0,0 +1,149 @@
+"""Tests with real node processes that responses without end, from every kind of peer, leave a node its
+memory.
+
+Usage: test_response_memory.py PROGRAM [unittest arguments]"""
+
+import asyncio
+import base64
+import json
+import os
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from fleet import Announcer, Fleet, PORTS, read_head  # noqa: E402
+
+PROGRAM = sys.argv.pop(1) if len(sys.argv) > 1 else "build/bin/snipeweir-platform"
+MAX_GROWTH = 48 << 20  # Bytes of memory for one endless response that is no caller's.
+SERVERS = 6
+FILLER = b"x" * 250_000
+
+
+def memory(node):
+    with open(f"/proc/{node.process.pid}/statm") as statm:
+        return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+async def write_endlessly(writer, first, repeated):
+    """Sends bytes until the peer closes the connection. Returns the number of bytes sent."""
+    sent = 0
+    try:
+        writer.write(first)
+        while not writer.is_closing():
+            writer.write(repeated)
+            await writer.drain()
+            sent += len(repeated)
+            await asyncio.sleep(0)
+    except OSError:
+        pass
+    return sent
+
+
+class ResponseMemoryTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        # The servers of the first service are faulty; that of the last is not, and its node is the callers' node.
+        self.fleet = Fleet(PROGRAM, self.folder.name, ["one"] * SERVERS + ["two"])
+        await self.fleet.start()
+        self.fleet.configure([self.fleet.route("/s/", "safe", "one", "9000ms"),
+                              self.fleet.route("/t/", "safe", "two", "9000ms")])
+        await asyncio.sleep(2)
+        self.caller = self.fleet.nodes[-1]
+
+    async def asyncTearDown(self):
+        await self.fleet.stop()
+        self.folder.cleanup()
+
+    async def watch_memory(self, node, seconds):
+        """Returns the largest growth of the memory of a node."""
+        before, peak, end = memory(node), 0, time.monotonic() + seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(0.02)
+            peak = max(peak, memory(node) - before)
+        return peak
+
+    async def test_health_responses_without_end_take_the_nodes_memory(self):
+        head = b"HTTP/1.1 200 OK\r\nInstance-Id: i\r\n"
+        for first, repeated in ((head + b"X-Filler: ", FILLER), (head, b"X-Filler: x\r\n" * 20_000),
+                                (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 10_000),
+                                (head + b"Transfer-Encoding: chunked\r\n\r\n", b"%x\r\n%s\r\n" % (len(FILLER), FILLER)),
+                                (head + b"\r\n", FILLER)):
+            async def serve(reader, writer, first=first, repeated=repeated):
+                await read_head(reader)
+                await write_endlessly(writer, first, repeated)
+                writer.close()
+
+            node = self.fleet.nodes[0]
+            await node.backend.stop()
+            node.backend.server = await asyncio.start_server(serve, node.ip, PORTS["backend"] + 100)
+            node.backend_proxy.reset_all()
+            with self.subTest(first + repeated[:20]):
+                self.assertLess(await self.watch_memory(node, 1.5), MAX_GROWTH)
+
+    async def test_a_response_of_the_store_without_end_takes_the_nodes_memory(self):
+        item = base64.b64encode(b"x" * 700).decode()
+        page = json.dumps({"items": [{"key": "servers/x", "value": item, "revision": 1}] * 300}).encode()[:-2]
+        sent = []
+        for first, repeated in ((b"Transfer-Encoding: chunked\r\n\r\n", b"%x\r\n%s\r\n" % (len(page), page)),
+                                (b"\r\n", b"[" * 250_000), (b"\r\n" + page, page[10:]),
+                                (b"X-Filler: ", FILLER)):
+            async def serve(reader, writer, first=b"HTTP/1.1 200 OK\r\n" + first, repeated=repeated):
+                while await read_head(reader) and not writer.is_closing():
+                    sent.append(await write_endlessly(writer, first, repeated))
+                writer.close()
+
+            self.fleet.store.server.close()
+            self.fleet.store.server = await asyncio.start_server(serve, self.fleet.store.ip, 7309)
+            for node in self.fleet.nodes:
+                node.store_proxy.reset_all()
+            sent.clear()
+            with self.subTest(first + repeated[:20]):
+                peaks = await asyncio.gather(*(self.watch_memory(node, 3) for node in self.fleet.nodes))
+                self.assertLess(max(peaks), MAX_GROWTH)
+                self.assertTrue(sent)
+                self.assertEqual((await self.fleet.send(self.caller, "GET", "/t/x")).status, 200)
+
+    async def test_pages_of_the_store_without_end_take_the_nodes_memory(self):
+        value, pages = base64.b64encode(b"x" * 1_000_000).decode(), []
+
+        async def respond(path, arguments):
+            if path == "/v1/kv-watch":
+                return 410, {}
+            pages.append(arguments["prefix"])
+            key = f"{arguments['prefix']}{len(pages):09}"
+            return 200, {"items": [{"key": key, "value": value, "revision": 1}], "hasMore": True, "atRev": 9}
+
+        self.fleet.store.respond = respond
+        for node in self.fleet.nodes:
+            node.store_proxy.reset_all()
+        peaks = await asyncio.gather(*(self.watch_memory(node, 6) for node in self.fleet.nodes))
+        self.assertGreater(pages.count("op/"), 16)
+        self.assertLess(max(peaks), MAX_GROWTH)
+
+    async def test_a_document_of_another_node_without_end_takes_the_nodes_memory(self):
+        announcer = Announcer(f"{self.fleet.subnet}.7.7", self.fleet.store)
+        sent = []
+
+        async def serve(reader, writer):
+            await read_head(reader)
+            first = b"HTTP/1.1 200 OK\r\nSnipeweir-Revision: 1000000\r\nTransfer-Encoding: chunked\r\n\r\n"
+            sent.append(await write_endlessly(writer, first, b"%x\r\n%s\r\n" % (len(FILLER), FILLER)))
+            writer.close()
+
+        announcer.serve = serve
+        await announcer.start()
+        announcer.read()
+        announcer.revision = 1_000_000
+        for _ in range(4):
+            announcer.announce(self.caller, 0)
+            await asyncio.sleep(0.01)
+        self.assertLess(await self.watch_memory(self.caller, 3), MAX_GROWTH)
+        self.assertTrue(sent)
+        self.assertEqual((await self.fleet.send(self.caller, "GET", "/t/x")).status, 200)
+        await announcer.stop()
+
+
+if __name__ == "__main__":
+    unittest.main()
