Let responses reserve what they hold from the memory of request bodies

Each response was limited, their sum was not. With 1,000 responses at once of which servers had sent 100 KB, the callers' node of held 114 MB; 190 heads of 31 KB in 2,350 fields took 101 MB at a server's node. With the 96 MB that request bodies may take besides, that is more than the 160 MB of the VM.

Large heads and bodies of responses now reserve their memory from that of request bodies, a quarter of it at most. A body that gets no more is passed on in pieces of 4 KB. A head of more than 8 KB that gets none ends the exchange. What was passed on is freed at once, what was released is returned to the system within a second, and 48 KB are read ahead instead of 128 KB.

--- a/snipeweir/relay/BodyMemory.cpp
+++ b/snipeweir/relay/BodyMemory.cpp
@@ -19,6 +19,13 @@
     constexpr size_t minLimit = 8U << 20U;
     /// Number of free blocks that stay resident, so that small bodies cause no page faults and system calls.
     constexpr size_t maxResidentFreeBlocks = 64;
+    /// Part of the blocks that responses may reserve.
+    constexpr size_t responseShare = 4;
+
+    size_t blocksFor(size_t bytes)
+    {
+        return bytes / BodyMemory::blockBytes + (bytes % BodyMemory::blockBytes > 0 ? 1 : 0);
+    }
 
 }
 
@@ -49,6 +56,28 @@
 
 BodyMemory::~BodyMemory() { ::munmap(m_base, m_blockCount * blockBytes); }
 
+bool BodyMemory::reserve(Use use, size_t blocks)
+{
+    const bool isResponse = use == Use::Response;
+    if (blocks > m_blockCount - m_usedBlocks
+        || (isResponse && blocks > m_blockCount / responseShare - m_responseBlocks)) {
+        m_counters.responseDenials += isResponse ? 1 : 0;
+        return false;
+    }
+    m_usedBlocks += blocks;
+    m_responseBlocks += isResponse ? blocks : 0;
+    return true;
+}
+
+void BodyMemory::release(Use use, size_t blocks)
+{
+    m_usedBlocks -= blocks;
+    if (use != Use::Response)
+        return;
+    m_responseBlocks -= blocks;
+    m_releasedResponseBlocks += blocks;
+}
+
 char* BodyMemory::takeBlock()
 {
     for (auto* blocks : { &m_residentBlocks, &m_returnedBlocks }) {
@@ -74,6 +103,7 @@
 
 BodyMemory::Reservation::Reservation(Reservation&& other) noexcept
     : m_memory(other.m_memory)
+    , m_use(other.m_use)
     , m_reservedBlocks(std::exchange(other.m_reservedBlocks, 0))
     , m_blocks(std::exchange(other.m_blocks, {}))
 {
@@ -83,21 +113,27 @@
 {
     for (char* block : m_blocks)
         m_memory->returnBlock(block);
-    m_memory->m_usedBlocks -= m_reservedBlocks;
+    m_memory->release(m_use, m_reservedBlocks);
 }
 
 bool BodyMemory::Reservation::growTo(size_t bytes)
 {
-    const size_t blocks = bytes / blockBytes + (bytes % blockBytes > 0 ? 1 : 0);
+    const size_t blocks = blocksFor(bytes);
     if (blocks <= m_reservedBlocks)
         return true;
-    if (blocks - m_reservedBlocks > m_memory->m_blockCount - m_memory->m_usedBlocks)
+    if (!m_memory->reserve(m_use, blocks - m_reservedBlocks))
         return false;
-    m_memory->m_usedBlocks += blocks - m_reservedBlocks;
     m_reservedBlocks = blocks;
     return true;
 }
 
+void BodyMemory::Reservation::shrinkTo(size_t bytes)
+{
+    const size_t blocks = std::min(m_reservedBlocks, blocksFor(bytes));
+    m_memory->release(m_use, m_reservedBlocks - blocks);
+    m_reservedBlocks = blocks;
+}
+
 char* BodyMemory::Reservation::takeBlock()
 {
     if (m_blocks.size() == m_reservedBlocks)
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -227,7 +227,8 @@
     }
     if (cancellation.isCancelled())
         co_return Response::notRun(Reason::CancelledBeforeStart);
-    auto exchange = std::make_shared<HttpExchange>(m_pool, std::move(connection));
+    auto memory = std::make_shared<BodyMemory::Reservation>(m_bodyMemory, BodyMemory::Use::Response);
+    auto exchange = std::make_shared<HttpExchange>(m_pool, std::move(connection), std::move(memory));
     cancellation.setHook([weak = std::weak_ptr(exchange)] {
         if (const auto current = weak.lock())
             current->cancel();
@@ -245,6 +246,7 @@
     if (end == StepResult::Complete)
         response = hop_codec::decodeResponse(*exchange);
     if (response && end == StepResult::Complete) {
+        response->memory = exchange->memory();
         end = co_await exchange->readBodyUpTo(response->body, bufferedBodyBytes, deadline);
         if (end == StepResult::More)
             response->rest = exchange;
--- a/snipeweir/relay/Connection.cpp
+++ b/snipeweir/relay/Connection.cpp
@@ -18,6 +18,9 @@
         return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
+    /// Capacity up to which the read buffer of an idle connection is kept.
+    constexpr size_t maxIdleBufferBytes = 4U << 10U;
+
     template <int Name> using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
 
 }
@@ -84,6 +87,8 @@
     if (connection->buffer.size() > 0)
         return;
     connection->stream.expires_never();
+    if (connection->buffer.capacity() > maxIdleBufferBytes)
+        connection->buffer.shrink_to_fit();
     // A request with a large body may have changed it.
     setUserTimeout(connection->stream.socket(), m_settings.userTimeout);
     connection->usedAt = m_clock.now();
--- a/snipeweir/relay/Connection.h
+++ b/snipeweir/relay/Connection.h
@@ -46,7 +46,7 @@
 /// A TCP connection that this node opened, with its read buffer.
 struct Connection {
     /// Maximum number of bytes that are read ahead. A head, the size line of a chunk and the trailer must each fit.
-    static constexpr size_t maxBufferedBytes = 128U << 10U;
+    static constexpr size_t maxBufferedBytes = 48U << 10U;
 
     /// Receive buffer of connections of callers and nodes: carries 60 Mbit/s at a round trip of 9 ms, the longest one
     /// between data centres.
--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -20,6 +20,12 @@
     /// read. The smallest receive buffer of a Linux socket holds about this much.
     constexpr size_t maxUnreadBytes = 16U << 10U;
     constexpr size_t readChunkBytes = 32U << 10U;
+    /// Bytes that are read in one step if memory is short.
+    constexpr size_t minReadBytes = 4U << 10U;
+    /// Size up to which a head or a body needs no reservation.
+    constexpr size_t unreservedBytes = 8U << 10U;
+    /// Memory of one field in addition to its text, in the parser and in the copy for the caller.
+    constexpr size_t fieldOverheadBytes = 192;
     /// Maximum number of buffers that one write takes; the kernel interface takes 64 at a time.
     constexpr size_t maxBuffersPerWrite = 64;
     constexpr uint32_t maxHeadBytes = 32U << 10U;
@@ -57,9 +63,10 @@
         names.begin(), names.end(), [&](std::string_view hopByHop) { return equalsIgnoringCase(name, hopByHop); });
 }
 
-HttpExchange::HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection)
+HttpExchange::HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection, Memory memory)
     : m_pool(pool)
     , m_connection(std::move(connection))
+    , m_memory(std::move(memory))
     , m_wasReused(m_connection->isReused)
 {
 }
@@ -167,10 +174,41 @@
             co_return end;
         m_hasFinalHead = status() / 100 != 1;
     }
+    const size_t head = headMemory();
+    m_reservedHead = head > unreservedBytes ? head : 0;
+    if (!holdMemory(0))
+        co_return finish(StepResult::Broken);
     parseKeepAlive();
     co_return StepResult::Complete;
 }
 
+size_t HttpExchange::headMemory() const
+{
+    size_t bytes = 0;
+    for (const auto& field : m_parser->get())
+        bytes += fieldOverheadBytes + 2 * (field.name_string().size() + field.value().size());
+    return bytes;
+}
+
+bool HttpExchange::holdMemory(size_t bodyCapacity)
+{
+    const size_t reservedBody = bodyCapacity > unreservedBytes ? bodyCapacity : 0;
+    return !m_memory || m_memory->growTo(m_reservedHead + reservedBody);
+}
+
+void HttpExchange::releaseBody(std::string& body)
+{
+    std::string().swap(body); // An assignment would keep the capacity.
+    if (m_memory)
+        m_memory->shrinkTo(m_reservedHead);
+}
+
+size_t HttpExchange::stepBytes() const
+{
+    const auto left = m_parser->content_length_remaining();
+    return left ? static_cast<size_t>(std::clamp<uint64_t>(*left, 1, readChunkBytes)) : readChunkBytes;
+}
+
 asio::awaitable<HttpExchange::StepResult> HttpExchange::readAnyHead(SteadyTime deadline)
 {
     if (m_isCancelled)
@@ -198,7 +236,20 @@
         m_connection->peerIdleTimeout = std::chrono::seconds(std::min<uint64_t>(*parsed, 3600));
 }
 
-asio::awaitable<error_code> HttpExchange::readSome(std::string& body, SteadyTime deadline)
+bool HttpExchange::reserveStep(std::string& body)
+{
+    const size_t wanted = body.size() + stepBytes();
+    if (wanted <= body.capacity())
+        return true;
+    // Doubling avoids copying a long body at each step.
+    const size_t capacity = std::max(wanted, 2 * body.capacity());
+    if (!holdMemory(capacity))
+        return false;
+    body.reserve(capacity);
+    return true;
+}
+
+asio::awaitable<error_code> HttpExchange::readSome(std::string& body, size_t room, SteadyTime deadline)
 {
     if (m_isCancelled)
         co_return asio::error::operation_aborted;
@@ -207,14 +258,14 @@
         co_return beast::error::timeout;
     expireAt(m_connection->stream, deadline);
     const size_t before = body.size();
-    body.resize(before + readChunkBytes);
+    body.resize(before + room);
     auto& sink = m_parser->get().body();
     sink.data = body.data() + before;
-    sink.size = readChunkBytes;
+    sink.size = room;
     sink.more = false;
     const auto [error, count]
         = co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
-    body.resize(before + readChunkBytes - m_parser->get().body().size);
+    body.resize(before + room - m_parser->get().body().size);
     co_return error == http::error::need_buffer ? error_code() : error;
 }
 
@@ -224,7 +275,10 @@
         co_return StepResult::Broken;
     if (m_parser->is_done())
         co_return finish(StepResult::Complete);
-    const error_code error = co_await readSome(body, deadline);
+    size_t room = stepBytes();
+    if (!reserveStep(body))
+        room = std::min(room, std::max(minReadBytes, body.capacity() - body.size()));
+    const error_code error = co_await readSome(body, room, deadline);
     if (error)
         co_return finish(endFromError(error));
     co_return m_parser->is_done() ? finish(StepResult::Complete) : StepResult::More;
@@ -237,7 +291,7 @@
         if (size > maxSkippedBytes)
             co_return StepResult::Broken;
         ignored.clear();
-        const error_code error = co_await readSome(ignored, deadline);
+        const error_code error = co_await readSome(ignored, minReadBytes, deadline);
         if (error)
             co_return endFromError(error);
     }
@@ -262,7 +316,7 @@
     std::string& body, size_t atLeast, SteadyTime deadline)
 {
     StepResult end = StepResult::More;
-    while (end == StepResult::More && body.size() < atLeast)
+    while (end == StepResult::More && body.size() < atLeast && (body.empty() || reserveStep(body)))
         end = co_await readBody(body, deadline);
     co_return end;
 }
--- a/snipeweir/relay/HttpExchange.h
+++ b/snipeweir/relay/HttpExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipeweir/core/IgnoreCase.h"
+#include "snipeweir/relay/BodyMemory.h"
 #include "snipeweir/relay/Connection.h"
 #include "snipeweir/relay/RelayRequest.h"
 
@@ -23,8 +24,12 @@
         TimedOut,
     };
 
+    using Memory = std::shared_ptr<BodyMemory::Reservation>;
+
     /// @param connection Connection from the pool; not null.
-    HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection);
+    /// @param memory Limits what the exchange buffers of the response, beyond a small size; null if the reader of the
+    /// response limits it.
+    HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection, Memory memory = nullptr);
     ~HttpExchange();
     HttpExchange(const HttpExchange&) = delete;
     HttpExchange& operator=(const HttpExchange&) = delete;
@@ -43,14 +48,21 @@
     /// @return Whether the peer was sent no byte of the body that it had to wait for.
     bool isBodyWithheld() const { return m_isBodyWithheld; }
 
-    /// Reads the head of the next final response and skips a few interim (1xx) responses.
+    /// Reads the head of the next final response and skips a few interim (1xx) responses. The exchange ends as Broken
+    /// if there is no memory for a large head.
     asio::awaitable<StepResult> readHead(SteadyTime deadline);
 
-    /// Reads more of the body.
+    /// Reads more of the body, in smaller steps if memory is short.
     /// @param body The bytes are appended to it.
     asio::awaitable<StepResult> readBody(std::string& body, SteadyTime deadline);
 
-    /// Reads the body until it is complete or has at least the given number of bytes.
+    /// Frees a part of the body that was passed on, and the memory that was reserved for it.
+    void releaseBody(std::string& body);
+
+    /// @return The memory that is reserved for the response. Must be kept as long as its head and body.
+    const Memory& memory() const { return m_memory; }
+
+    /// Reads the body until it is complete, has at least the given number of bytes, or may take no more memory.
     asio::awaitable<StepResult> readBodyUpTo(std::string& body, size_t atLeast, SteadyTime deadline);
 
     /// Skips the body of a response that belongs to another request, so that readHead() reads the next response.
@@ -92,12 +104,26 @@
     /// Reads the head of the next response, which may be an interim one.
     asio::awaitable<StepResult> readAnyHead(SteadyTime deadline);
     asio::awaitable<StepResult> readIgnored(SteadyTime deadline);
-    asio::awaitable<error_code> readSome(std::string& body, SteadyTime deadline);
+    /// @param room Maximum number of bytes to read.
+    asio::awaitable<error_code> readSome(std::string& body, size_t room, SteadyTime deadline);
+    /// @return Number of bytes that one step should read.
+    size_t stepBytes() const;
+    /// Makes room in a body for the next step.
+    /// @return False if there is no memory for it.
+    bool reserveStep(std::string& body);
+    /// Reserves memory for the head and a body of a given capacity.
+    /// @return Whether it is available; always the case for a small response.
+    bool holdMemory(size_t bodyCapacity);
+    /// @return Approximate memory of the parsed head and its copy for the caller.
+    size_t headMemory() const;
     static StepResult endFromError(const error_code&);
     void parseKeepAlive();
 
     ConnectionPool& m_pool;
     std::unique_ptr<Connection> m_connection;
+    Memory m_memory;
+    /// Memory reserved for the head of the response; zero for a small one.
+    size_t m_reservedHead = 0;
     std::optional<Parser> m_parser;
     bool m_wasReused;
     bool m_hasResponseBytes = false;
--- a/snipeweir/relay/InboundConnection.cpp
+++ b/snipeweir/relay/InboundConnection.cpp
@@ -297,7 +297,7 @@
             co_return true;
         }
         head.clear();
-        body.clear();
+        rest.releaseBody(body);
         end = co_await rest.readBody(body, deadline);
         if (end != HttpExchange::StepResult::Complete && end != HttpExchange::StepResult::More) {
             m_form.isKeepAlive = false;
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <malloc.h>
 #include <random>
 
 namespace snipeweir {
@@ -19,6 +20,8 @@
     /// Polling interval; changed settings must be in force within two seconds.
     constexpr std::chrono::milliseconds settingsPollInterval { 1000 };
     constexpr std::chrono::milliseconds peerWriteTimeout { 5000 };
+    /// Memory of responses after whose release the heap returns what it does not use to the system.
+    constexpr size_t minTrimBytes = 8U << 20U;
 
     uint64_t randomSeed()
     {
@@ -90,7 +93,8 @@
     , m_follower(m_context.get_executor(), clock, m_settings, makeSource(m_context.get_executor()), m_view, m_peers,
           log, randomSeed())
     , m_authentication(m_view, m_follower.freshness(), m_names, log, m_metrics)
-    , m_server(m_context.get_executor(), clock, ServerPath::Settings(), m_settings, m_names, m_view, log, m_metrics)
+    , m_server(m_context.get_executor(), clock, ServerPath::Settings(), m_settings, m_names, m_view, *m_bodyMemory, log,
+          m_metrics)
     , m_quotas(m_context.get_executor(), clock, m_settings, m_view, m_peers, randomSeed())
     , m_callers(m_context.get_executor(), clock, CallerPath::Settings(), m_settings, m_names, m_view, m_authentication,
           m_peers, m_server, m_quotas, *m_bodyMemory, log, m_metrics, randomSeed())
@@ -297,6 +301,9 @@
         timer.expires_after(settingsPollInterval);
         co_await timer.async_wait(asTuple);
         m_callers.closeIdleConnections();
+        // Request bodies may take this memory now, from a mapping of their own.
+        if (m_bodyMemory->takeReleasedByResponses() >= minTrimBytes)
+            ::malloc_trim(0);
         if (haveSettingsChanged && haveSettingsChanged())
             reload();
     }
@@ -399,6 +406,8 @@
     add("body_memory_limit_bytes", m_bodyMemory->limit());
     add("body_memory_used_bytes", m_bodyMemory->used());
     add("body_rejections_total", m_bodyMemory->counters().rejections);
+    add("response_memory_used_bytes", m_bodyMemory->usedByResponses());
+    add("response_memory_denials_total", m_bodyMemory->counters().responseDenials);
     add("backends", m_view.backends().size());
     add("log_lines_dropped_total", m_log.dropped());
     return text;
--- a/snipeweir/relay/RelayRequest.h
+++ b/snipeweir/relay/RelayRequest.h
@@ -97,6 +97,8 @@
     std::string body;
     /// Reads the rest of the body; null if the body is complete.
     std::shared_ptr<HttpExchange> rest;
+    /// Memory that is reserved for the header fields and the body; null if there is nothing to reserve.
+    std::shared_ptr<BodyMemory::Reservation> memory;
     /// Service time at the backend server.
     std::chrono::microseconds serviceTime { 0 };
     /// Slowness of the backend server when the request started, in percent of the usual service time.
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -31,13 +31,15 @@
 }
 
 ServerPath::ServerPath(const asio::any_io_executor& executor, const Clock& clock, Settings settings,
-    const RelaySettings& node, const WireNames& names, const FleetView& view, JsonLog& log, Metrics& metrics)
+    const RelaySettings& node, const WireNames& names, const FleetView& view, BodyMemory& bodyMemory, JsonLog& log,
+    Metrics& metrics)
     : m_executor(executor)
     , m_clock(clock)
     , m_settings(settings)
     , m_node(node)
     , m_names(names)
     , m_view(view)
+    , m_bodyMemory(bodyMemory)
     , m_log(log)
     , m_metrics(metrics)
     , m_gate(ServerGate::Settings(), clock)
@@ -241,7 +243,8 @@
     auto connection = co_await m_pool.acquire(m_node.backendAddress, maxIdle, request.deadline);
     if (!connection)
         co_return nullptr;
-    co_return std::make_shared<HttpExchange>(m_pool, std::move(connection));
+    auto memory = std::make_shared<BodyMemory::Reservation>(m_bodyMemory, BodyMemory::Use::Response);
+    co_return std::make_shared<HttpExchange>(m_pool, std::move(connection), std::move(memory));
 }
 
 asio::awaitable<Response> ServerPath::exchange(
@@ -379,6 +382,7 @@
     response.wasSent = true;
     response.status = status;
     response.headers = exchange->endToEndFields();
+    response.memory = exchange->memory();
     run.hasFailed = status >= 500;
     const StepResult end
         = co_await exchange->readBodyUpTo(response.body, m_settings.maxBufferedBytes, request.deadline);
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -47,7 +47,7 @@
     };
 
     ServerPath(const asio::any_io_executor&, const Clock&, Settings, const RelaySettings&, const WireNames&,
-        const FleetView&, JsonLog&, Metrics&);
+        const FleetView&, BodyMemory&, JsonLog&, Metrics&);
 
     /// Runs the request. It runs at most once, unless it is idempotent and its pooled connection was closed before any
     /// response bytes.
@@ -149,6 +149,7 @@
     const RelaySettings& m_node;
     const WireNames& m_names;
     const FleetView& m_view;
+    BodyMemory& m_bodyMemory;
     JsonLog& m_log;
     Metrics& m_metrics;
 
--- a/tests/relay/BodyMemoryTests.cpp
+++ b/tests/relay/BodyMemoryTests.cpp
@@ -115,6 +115,32 @@
     }));
 }
 
+TEST_CASE("Responses take the memory of request bodies, or keep what they have released")
+{
+    const auto memory = makeMemory();
+    std::vector<std::unique_ptr<BodyMemory::Reservation>> responses;
+    const auto add = [&] {
+        responses.push_back(std::make_unique<BodyMemory::Reservation>(*memory, BodyMemory::Use::Response));
+        return responses.back()->growTo(2 * BodyMemory::blockBytes);
+    };
+    for (size_t i = 0; i < limitBlocks / 8; ++i)
+        CHECK(add());
+    CHECK_FALSE(add());
+    CHECK(memory->usedByResponses() == limitBytes / 4);
+    CHECK(memory->counters().responseDenials == 1);
+    RequestBody body(*memory);
+    CHECK_FALSE(body.reserve(limitBytes * 3 / 4 + 1));
+    CHECK(body.reserve(limitBytes * 3 / 4));
+    // Bodies hold the rest, so a response may grow only by what another one has released.
+    responses[0]->shrinkTo(BodyMemory::blockBytes);
+    CHECK(memory->used() == limitBytes - BodyMemory::blockBytes);
+    CHECK_FALSE(responses[1]->growTo(4 * BodyMemory::blockBytes));
+    CHECK(responses[1]->growTo(3 * BodyMemory::blockBytes));
+    responses.clear();
+    CHECK(memory->usedByResponses() == 0);
+    CHECK(memory->used() == limitBytes * 3 / 4);
+}
+
 TEST_CASE("The memory for bodies ignores the memory of the VM, or leaves no room for a body of the maximum size")
 {
     CHECK(BodyMemory::limitFor(160) >= 67'108'864);
--- a/tests/relay/test_response_memory.py
+++ b/tests/relay/test_response_memory.py
@@ -1,4 +1,4 @@
-"""Tests with real node processes that responses without end, from every kind of peer, leave a node its
+"""Tests with real node processes that responses without end, many at once and from every kind of peer, leave a node its
 memory.
 
 Usage: test_response_memory.py PROGRAM [unittest arguments]"""
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import socket
 import sys
 import tempfile
 import time
@@ -16,9 +17,23 @@
 from fleet import Announcer, Fleet, PORTS, read_head  # noqa: E402
 
 PROGRAM = sys.argv.pop(1) if len(sys.argv) > 1 else "build/bin/snipeweir-platform"
+MEMORY = 160 << 20  # Memory of a VM whose settings do not name it.
+UNREAD = 24 << 20  # What the kernel may hold unread.
 MAX_GROWTH = 48 << 20  # Bytes of memory for one endless response that is no caller's.
 SERVERS = 6
+RESPONSES = 1000
+DEADLINE = 5.0  # Seconds.
 FILLER = b"x" * 250_000
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: s\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# What the servers send before they send no more, too little for the callers' nodes to notice that it is too much.
+INCOMPLETE = {
+    "a field": HEAD + b"X-Filler: " + b"x" * 31_000,
+    "a body behind many fields": HEAD + b"X-Filler: x\r\n" * 2350 + b"Content-Length: 9000000\r\n\r\n" + b"x" * 60_000,
+    "a body": HEAD + b"Content-Length: 9000000\r\n\r\n" + b"x" * 100_000,
+    "a chunk's extension": CHUNKED + b"5;" + b"x" * 100_000,
+    "a trailer field": CHUNKED + b"1\r\nx\r\n0\r\nX-Filler: " + b"x" * 100_000,
+}
 
 
 def memory(node):
@@ -46,6 +61,8 @@
         self.folder = tempfile.TemporaryDirectory()
         # The servers of the first service are faulty; that of the last is not, and its node is the callers' node.
         self.fleet = Fleet(PROGRAM, self.folder.name, ["one"] * SERVERS + ["two"])
+        for node in self.fleet.nodes:
+            node.backend.slots = RESPONSES
         await self.fleet.start()
         self.fleet.configure([self.fleet.route("/s/", "safe", "one", "9000ms"),
                               self.fleet.route("/t/", "safe", "two", "9000ms")])
@@ -56,6 +73,64 @@
         await self.fleet.stop()
         self.folder.cleanup()
 
+    def send_incomplete(self, text):
+        async def finish_run(reader, writer, fields, request_id):
+            writer.write(text.replace(b"{id}", request_id.encode()))
+            await reader.read(1)
+            raise ConnectionError
+
+        for node in self.fleet.nodes[:-1]:
+            node.backend.finish_run = finish_run
+
+    async def assert_room_for_bodies(self, case):
+        """What the node holds, and what request bodies may take besides, must fit into the memory."""
+        for node in self.fleet.nodes:
+            limit = await self.fleet.metric(node, "snipeweir_body_memory_limit_bytes")
+            used = await self.fleet.metric(node, "snipeweir_body_memory_used_bytes")
+            self.assertLess(memory(node) + limit - used + UNREAD, MEMORY, f"{case}, node {node.index}")
+
+    async def open_callers(self, count, window=None):
+        """Sends a request on each of many connections and reads nothing. Returns the connections."""
+        loop, callers = asyncio.get_running_loop(), []
+        for number in range(count):
+            connection = socket.socket()
+            if window:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
+            connection.setblocking(False)
+            await loop.sock_connect(connection, (self.caller.ip, PORTS["callers"]))
+            connection.send((f"GET /s/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {self.fleet.new_id()}\r\n"
+                             f"Deadline-Ms: {int(DEADLINE * 1000)}\r\n\r\n").encode())
+            callers.append(connection)
+            if number % 20 == 0:
+                await asyncio.sleep(0.01)
+        return callers
+
+    async def test_many_incomplete_responses_at_once_take_the_nodes_memory(self):
+        for name, text in INCOMPLETE.items():
+            with self.subTest(name):
+                self.send_incomplete(text)
+                before = sum(len(node.backend.started) for node in self.fleet.nodes)
+                callers = await self.open_callers(RESPONSES)
+                await asyncio.sleep(1.5)
+                runs = sum(len(node.backend.started) for node in self.fleet.nodes) - before
+                await self.assert_room_for_bodies(name)
+                response = await self.fleet.send(self.caller, "GET", "/t/x")
+                self.assertEqual((response.status, response.is_complete), (200, True))
+                self.assertGreater(runs, RESPONSES * 3 // 4)
+                for connection in callers:
+                    connection.close()
+                await asyncio.sleep(2)
+
+    async def test_responses_without_end_to_slow_callers_take_the_nodes_memory(self):
+        for node in self.fleet.nodes[:-1]:
+            node.backend.mode, node.backend.endless = "endless", (CHUNKED, b"10000\r\n" + b"x" * 65_536 + b"\r\n")
+        callers = await self.open_callers(200, window=4096)
+        for _ in range(3):
+            await asyncio.sleep(0.7)
+            await self.assert_room_for_bodies("slow callers")
+        for connection in callers:
+            connection.close()
+
     async def watch_memory(self, node, seconds):
         """Returns the largest growth of the memory of a node."""
         before, peak, end = memory(node), 0, time.monotonic() + seconds
