--- a/snipeweir/relay/InboundConnection.h
+++ b/snipeweir/relay/InboundConnection.h
@@ -103,8 +103,8 @@
     /// Closes the connection without losing a response that is still on its way: shuts down the sending side, then
     /// reads and drops what the peer still sends, until the peer has closed its side or has had the response for a
     /// while (RFC 9112, section 9.6). Closing the socket at once would answer any further bytes of the peer with a
-    /// reset, which discards what has not been sent and what the peer has not read. Takes 10 s at most. There must be
-    /// no other operation on the connection.
+    /// reset, which discards what has not been sent and what the peer has not read. Takes 10 s at most. Other
+    /// operations on the connection end with an error.
     asio::awaitable<void> close();
 
 private:
