--- a/snipeweir/relay/CallerPipeline.cpp
+++ b/snipeweir/relay/CallerPipeline.cpp
@@ -25,7 +25,7 @@
         if (auto current = weak.lock())
             asio::co_spawn(m_executor, readRequests(std::move(current)), asio::detached);
     };
-    m_connections.emplace(connection.get(), connection);
+    m_connections[connection.get()] = connection;
     return readRequests(std::move(connection));
 }
 
