--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -198,24 +198,33 @@
         self.assertGreater(running, 2 * len(self.fleet.nodes))
         self.assertEqual(codes, [0] * len(self.fleet.nodes))
 
+    @staticmethod
+    async def change_settings(node, is_over):
+        """Sends SIGHUP again and again. Popen.send_signal() would take the exit code from asyncio."""
+        descriptor = os.pidfd_open(node.process.pid)
+        while not is_over():
+            try:
+                signal.pidfd_send_signal(descriptor, signal.SIGHUP)
+            except ProcessLookupError:
+                pass
+            await asyncio.sleep(0.0002)
+        os.close(descriptor)
+
     async def test_a_change_of_the_settings_while_a_process_starts_or_ends_kills_it(self):
         node = self.stopped
         path = os.path.join(self.fleet.folder, f"node-{node.index}.log")
         for _ in range(5):
             node.signal(signal.SIGTERM)
             await asyncio.sleep(2.4)  # An idle process ends 2.6 s after SIGTERM.
-            while node.process.returncode is None:
-                node.signal(signal.SIGHUP)
-                await asyncio.sleep(0.0002)
+            await self.change_settings(node, lambda: node.process.returncode is not None)
             self.assertEqual(node.process.returncode, 0)
             with open(path, encoding="utf-8") as log:
                 log.seek(0, os.SEEK_END)
                 await node.start_process()
                 while '"event":"start"' not in log.read():
                     await asyncio.sleep(0)
-            for _ in range(200):
-                node.signal(signal.SIGHUP)
-                await asyncio.sleep(0.0002)
+            end = time.monotonic() + 0.2
+            await self.change_settings(node, lambda: time.monotonic() > end)
             self.assertIsNone(node.process.returncode)
             await self.fleet.wait_ready()
 
