Let HttpExchange create the reservation of its response

ServerPath and CallerPath made the same reservation in two lines each before every exchange, and the size up to which nothing is reserved was decided in two places. HttpExchange now takes the memory and makes the reservation itself, one function decides, and the fields of a head are not counted where nothing limits the memory (health checks, store, documents). No change of behaviour.

--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -227,8 +227,7 @@
     }
     if (cancellation.isCancelled())
         co_return Response::notRun(Reason::CancelledBeforeStart);
-    auto memory = std::make_shared<BodyMemory::Reservation>(m_bodyMemory, BodyMemory::Use::Response);
-    auto exchange = std::make_shared<HttpExchange>(m_pool, std::move(connection), std::move(memory));
+    auto exchange = std::make_shared<HttpExchange>(m_pool, std::move(connection), &m_bodyMemory);
     cancellation.setHook([weak = std::weak_ptr(exchange)] {
         if (const auto current = weak.lock())
             current->cancel();
--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -36,6 +36,8 @@
     /// Maximum size of a body that is skipped.
     constexpr size_t maxSkippedBytes = 64U << 10U;
 
+    size_t reservedSize(size_t bytes) { return bytes > unreservedBytes ? bytes : 0; }
+
 }
 
 std::optional<uint64_t> parseUnsigned(std::string_view text)
@@ -63,10 +65,10 @@
         names.begin(), names.end(), [&](std::string_view hopByHop) { return equalsIgnoringCase(name, hopByHop); });
 }
 
-HttpExchange::HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection, Memory memory)
+HttpExchange::HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection, BodyMemory* memory)
     : m_pool(pool)
     , m_connection(std::move(connection))
-    , m_memory(std::move(memory))
+    , m_memory(memory ? std::make_shared<BodyMemory::Reservation>(*memory, BodyMemory::Use::Response) : nullptr)
     , m_wasReused(m_connection->isReused)
 {
 }
@@ -174,8 +176,8 @@
             co_return end;
         m_hasFinalHead = status() / 100 != 1;
     }
-    const size_t head = headMemory();
-    m_reservedHead = head > unreservedBytes ? head : 0;
+    if (m_memory)
+        m_reservedHead = reservedSize(headMemory());
     if (!holdMemory(0))
         co_return finish(StepResult::Broken);
     parseKeepAlive();
@@ -192,8 +194,7 @@
 
 bool HttpExchange::holdMemory(size_t bodyCapacity)
 {
-    const size_t reservedBody = bodyCapacity > unreservedBytes ? bodyCapacity : 0;
-    return !m_memory || m_memory->growTo(m_reservedHead + reservedBody);
+    return !m_memory || m_memory->growTo(m_reservedHead + reservedSize(bodyCapacity));
 }
 
 void HttpExchange::releaseBody(std::string& body)
--- a/snipeweir/relay/HttpExchange.h
+++ b/snipeweir/relay/HttpExchange.h
@@ -24,12 +24,10 @@
         TimedOut,
     };
 
-    using Memory = std::shared_ptr<BodyMemory::Reservation>;
-
     /// @param connection Connection from the pool; not null.
     /// @param memory Limits what the exchange buffers of the response, beyond a small size; null if the reader of the
     /// response limits it.
-    HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection, Memory memory = nullptr);
+    HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection, BodyMemory* memory = nullptr);
     ~HttpExchange();
     HttpExchange(const HttpExchange&) = delete;
     HttpExchange& operator=(const HttpExchange&) = delete;
@@ -60,7 +58,7 @@
     void releaseBody(std::string& body);
 
     /// @return The memory that is reserved for the response. Must be kept as long as its head and body.
-    const Memory& memory() const { return m_memory; }
+    const std::shared_ptr<BodyMemory::Reservation>& memory() const { return m_memory; }
 
     /// Reads the body until it is complete, has at least the given number of bytes, or may take no more memory.
     asio::awaitable<StepResult> readBodyUpTo(std::string& body, size_t atLeast, SteadyTime deadline);
@@ -121,7 +119,8 @@
 
     ConnectionPool& m_pool;
     std::unique_ptr<Connection> m_connection;
-    Memory m_memory;
+    /// Null if the memory of the response is not limited.
+    std::shared_ptr<BodyMemory::Reservation> m_memory;
     /// Memory reserved for the head of the response; zero for a small one.
     size_t m_reservedHead = 0;
     std::optional<Parser> m_parser;
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -243,8 +243,7 @@
     auto connection = co_await m_pool.acquire(m_node.backendAddress, maxIdle, request.deadline);
     if (!connection)
         co_return nullptr;
-    auto memory = std::make_shared<BodyMemory::Reservation>(m_bodyMemory, BodyMemory::Use::Response);
-    co_return std::make_shared<HttpExchange>(m_pool, std::move(connection), std::move(memory));
+    co_return std::make_shared<HttpExchange>(m_pool, std::move(connection), &m_bodyMemory);
 }
 
 asio::awaitable<Response> ServerPath::exchange(
