Read a node's memory in one place, and tell an open connection from a reset one in test_closing.py

test_response_memory.py repeated the function of test_faulty_servers.py; it is a method of the Node of fleet.py now. A caller of test_closing.py that got nothing for 8 s counted as reset, since TimeoutError is an OSError, so the check for a reset of a body without length could pass on a connection that stays open; it counts as open now. An unused parameter and a loop of short waits are gone. No assertion is changed.

--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -422,6 +422,11 @@
         self.signal(signal.SIGKILL)
         await self.process.wait()
 
+    def memory(self):
+        """Returns the resident memory of the process in bytes."""
+        with open(f"/proc/{self.process.pid}/statm", encoding="ascii") as statm:
+            return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
     def has_checked_backend(self):
         """Whether the process has received a health check response. Until then it treats the server as cold."""
         with open(os.path.join(self.fleet.folder, f"node-{self.index}.log"), encoding="utf-8", errors="replace") as log:
--- a/tests/relay/test_closing.py
+++ b/tests/relay/test_closing.py
@@ -37,11 +37,14 @@
     def send(self, data):
         self.connection.send(data)
 
-    async def read(self, end=None):
-        """Reads until the received bytes end with the given ones, or until the connection ends: closed or reset."""
-        while not (end and self.received.endswith(end)):
+    async def read(self):
+        """Reads until the connection is closed or reset, or until nothing has come for 8 s: it is still open."""
+        while True:
             try:
                 data = await asyncio.wait_for(self.loop.sock_recv(self.connection, 8192), 8)
+            except asyncio.TimeoutError:  # Also an OSError.
+                self.end = "open"
+                return
             except OSError:
                 self.end = "reset"
                 return
@@ -127,13 +130,11 @@
     async def test_a_response_on_a_kept_connection_is_cut_by_the_end_of_the_process(self):
         callers = [await self.open(250_000) for _ in range(4)]
         self.node.signal(signal.SIGTERM)
-        begin = time.monotonic()
         await asyncio.sleep(2.0)
         for caller in callers:
             caller.send(self.request())
         reads = [asyncio.ensure_future(caller.read()) for caller in callers]
-        while time.monotonic() < begin + 3.1:  # The process may end after 2.6 s if it is idle.
-            await asyncio.sleep(0.1)
+        await asyncio.sleep(1.1)  # The process may end 2.6 s after the signal if it is idle.
         for caller in callers:
             caller.send(self.request())
         await asyncio.gather(*reads)
--- a/tests/relay/test_faulty_servers.py
+++ b/tests/relay/test_faulty_servers.py
@@ -43,11 +43,6 @@
 }
 
 
-def memory(node):
-    with open(f"/proc/{node.process.pid}/statm") as statm:
-        return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
-
-
 def processor_seconds(node):
     with open(f"/proc/{node.process.pid}/stat") as stat:
         fields = stat.read().rpartition(")")[2].split()
@@ -76,11 +71,11 @@
             with self.subTest(name):
                 self.backend.endless, self.backend.mode = (first, repeated), "endless"
                 self.backend.endless_ends.clear()
-                before, peak, begin = memory(self.server), 0, time.monotonic()
+                before, peak, begin = self.server.memory(), 0, time.monotonic()
                 send = asyncio.ensure_future(self.send())
                 while not send.done():
                     await asyncio.sleep(0.02)
-                    peak = max(peak, memory(self.server) - before)
+                    peak = max(peak, self.server.memory() - before)
                 took, response = time.monotonic() - begin, await send
                 status = response.status if response and response.is_complete else None
                 await asyncio.sleep(0.3)
@@ -103,7 +98,7 @@
         for first, repeated in ((b"5;", FILLER), (b"", b"0" * 500_000), (b"1\r\nx\r\n0\r\nX-Filler: ", FILLER),
                                 (b"1\r\nx\r\n0\r\n", b"X-Filler: x\r\n" * 40_000), (b"", CHUNK)):
             with self.subTest(first):
-                before = memory(self.caller)
+                before = self.caller.memory()
                 reader, writer = await asyncio.open_connection(self.caller.ip, PORTS["callers"])
                 writer.write(head + first)
                 end = time.monotonic() + 2
@@ -112,7 +107,7 @@
                         writer.write(repeated)
                         await writer.drain()
                         await asyncio.sleep(0.001)
-                        self.assertLess(memory(self.caller) - before, MAX_GROWTH)
+                        self.assertLess(self.caller.memory() - before, MAX_GROWTH)
                     self.fail("the connection stays open")
                 except OSError:
                     pass
--- a/tests/relay/test_response_memory.py
+++ b/tests/relay/test_response_memory.py
@@ -36,11 +36,6 @@
 }
 
 
-def memory(node):
-    with open(f"/proc/{node.process.pid}/statm") as statm:
-        return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
-
-
 async def write_endlessly(writer, first, repeated):
     """Sends bytes until the peer closes the connection. Returns the number of bytes sent."""
     sent = 0
@@ -87,7 +82,7 @@
         for node in self.fleet.nodes:
             limit = await self.fleet.metric(node, "snipeweir_body_memory_limit_bytes")
             used = await self.fleet.metric(node, "snipeweir_body_memory_used_bytes")
-            self.assertLess(memory(node) + limit - used + UNREAD, MEMORY, f"{case}, node {node.index}")
+            self.assertLess(node.memory() + limit - used + UNREAD, MEMORY, f"{case}, node {node.index}")
 
     async def open_callers(self, count, window=None):
         """Sends a request on each of many connections and reads nothing. Returns the connections."""
@@ -133,10 +128,10 @@
 
     async def watch_memory(self, node, seconds):
         """Returns the largest growth of the memory of a node."""
-        before, peak, end = memory(node), 0, time.monotonic() + seconds
+        before, peak, end = node.memory(), 0, time.monotonic() + seconds
         while time.monotonic() < end:
             await asyncio.sleep(0.02)
-            peak = max(peak, memory(node) - before)
+            peak = max(peak, node.memory() - before)
         return peak
 
     async def test_health_responses_without_end_take_the_nodes_memory(self):
