Keep the gate closed while the server says that it leaves, whatever is registered

Callers: requests reached a server more than the drain time after it had said that it leaves (DRAIN).

Cause: the notice in a response was kept for the incarnation that was registered at that time. If the source names a newer incarnation only later, for example after an outage of the store, the gate opened for it until the next response.

Why this works: the node remembers which instance says that it leaves until a health response says otherwise, and this closes the gate for any incarnation of it.

--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -57,7 +57,7 @@
     Reason reason = Reason::None;
     if (!m_view.routes())
         reason = Reason::NoConfiguration;
-    else if (m_isStopping || (entry && m_view.isLeaving(*entry)))
+    else if (m_isStopping || (entry && (m_view.isLeaving(*entry) || entry->instance == m_leavingInstance)))
         reason = Reason::Draining;
     else if (!entry || entry->service != m_node.service)
         reason = Reason::NoEndpoint;
@@ -438,8 +438,18 @@
 
 void ServerPath::readLeavingNotice(const HttpExchange& exchange, const BackendIncarnation& incarnation)
 {
-    if (exchange.hasField(m_names.leaving))
-        onLeaving(incarnation);
+    if (!exchange.hasField(m_names.leaving))
+        return;
+    setLeavingInstance(incarnation.instance);
+    onLeaving(incarnation);
+}
+
+void ServerPath::setLeavingInstance(const std::string& instance)
+{
+    if (instance == m_leavingInstance)
+        return;
+    m_leavingInstance = instance;
+    onViewChanged();
 }
 
 void ServerPath::readRateLimit(const HttpExchange& exchange, SteadyTime sentAt)
@@ -514,6 +524,7 @@
     const std::string instance(exchange.field(m_names.instance));
     if (!instance.empty()) {
         readRateLimit(exchange, sentAt);
+        setLeavingInstance(exchange.hasField(m_names.leaving) ? instance : std::string());
         if (instance == registered.instance)
             readLeavingNotice(exchange, registered);
     }
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -124,6 +124,9 @@
     /// Closes the gate if the response says that the server leaves.
     /// @param incarnation Incarnation that sent the response.
     void readLeavingNotice(const HttpExchange&, const BackendIncarnation& incarnation);
+    /// Closes the gate while the server itself says that it leaves, whatever is registered.
+    /// @param instance Instance that says so; empty if the server does not.
+    void setLeavingInstance(const std::string& instance);
     /// Reads the server's rate limit from a response.
     /// @param sentAt Time at which the request of the response was sent.
     void readRateLimit(const HttpExchange&, SteadyTime sentAt);
@@ -165,6 +168,9 @@
     /// Instance named in the last response to a health check; empty since the server became unreachable or
     /// responded with status 421.
     std::string m_instance;
+    /// Instance that said that it leaves, and has not responded to a health check without saying so since; otherwise
+    /// empty. The source may register its incarnation only after that, so an incarnation is not enough.
+    std::string m_leavingInstance;
     ServerRateLimit m_rateLimit;
     SteadyTime m_loadAt {};
     bool m_isStopping = false;
--- a/tests/relay/test_leaving_servers.py
+++ b/tests/relay/test_leaving_servers.py
@@ -84,6 +84,22 @@
         self.fleet.store.remove(f"servers/{self.leaving.backend.instance}")
         await self.assert_no_arrivals_after_drain(self.fleet.nodes)
 
+    async def test_requests_reach_a_leaving_server_whose_entry_is_read_late(self):
+        # While the store is unavailable, its node knows only the incarnation before, which has drained.
+        self.fleet.register(self.leaving, "draining")
+        await asyncio.sleep(1.5)
+        self.fleet.store.mode = "refuse"
+        self.fleet.register(self.leaving)
+        self.leaving.backend.is_leaving = True
+        self.leaving.backend.health_delay = 0.2  # So that requests come before the first notice after the read.
+        await asyncio.sleep(DRAIN)
+        begin = time.monotonic()
+        self.fleet.store.mode = "ok"
+        while time.monotonic() < begin + 4:
+            responses = await self.burst(self.fleet.nodes, 24)
+            self.assertGreaterEqual(sum(response.status == 200 for response in responses), 12)
+        self.assertEqual(self.arrivals_since(begin), [])
+
     async def test_a_server_that_started_anew_under_its_instance_stays_avoided(self):
         await self.pass_on_a_notice(self.caller)
         self.leaving.backend.is_leaving = False
