Limit what the kernel holds for a peer that does not read

Callers: none lost anything in a test, but 40 callers that read 600 KB of a response without end and then stop made the kernel of their node hold 43 MB, and 65 of them 77 MB, growing by 8 MB in a quarter of a second. With request bodies that is more than the memory of a VM (160 MB).

Cause: the kernel lets the send buffer of a connection grow while the peer reads, up to 4 MB; the limits on responses hold in the process only.

Evidence: /proc/net/tcp of the node's callers' address. Callers that read nothing from the start, as in the test that existed, hold 90 KB.

Why this works: with TCP_NOTSENT_LOWAT the kernel takes no more than 64 KB that it can't send yet; the rest stays with the process, which limits it. A limit of the send buffer would limit the throughput of long paths as well.

--- a/snipeweir/relay/Connection.cpp
+++ b/snipeweir/relay/Connection.cpp
@@ -21,6 +21,10 @@
     /// Capacity up to which the read buffer of an idle connection is kept.
     constexpr size_t maxIdleBufferBytes = 4U << 10U;
 
+    /// Number of bytes beyond the peer's window from which the kernel takes no more. A limit of the send buffer would
+    /// also limit the throughput on long paths.
+    constexpr int maxUnsentBytes = 64 << 10;
+
     template <int Name> using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
 
 }
@@ -29,6 +33,7 @@
 {
     error_code ignored; // A socket without these options still works, but detects a dead peer later.
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(TcpOption<TCP_NOTSENT_LOWAT>(maxUnsentBytes), ignored);
     setUserTimeout(socket, userTimeout);
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
     socket.set_option(TcpOption<TCP_KEEPIDLE>(1), ignored);
--- a/snipeweir/relay/Connection.h
+++ b/snipeweir/relay/Connection.h
@@ -23,8 +23,8 @@
 /// Completion token that returns the error code as a value instead of throwing it.
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Disables Nagle's algorithm and sets keep-alive probes and the user timeout, which limit the time until a dead peer
-/// is detected.
+/// Disables Nagle's algorithm, limits the bytes that the kernel holds for a peer that does not read them, and sets
+/// keep-alive probes and the user timeout, which limit the time until a dead peer is detected.
 /// @param userTimeout Maximum time for which sent bytes may stay unacknowledged.
 void setTcpOptions(asio::ip::tcp::socket&, std::chrono::milliseconds userTimeout);
 
--- a/tests/relay/test_response_memory.py
+++ b/tests/relay/test_response_memory.py
@@ -51,6 +51,14 @@
     return sent
 
 
+def unacknowledged_bytes(ip, port):
+    """Returns the number of bytes that the kernel holds in the send buffers of an address."""
+    local = f"{int.from_bytes(socket.inet_aton(ip), sys.byteorder):08X}:{port:04X}"
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        rows = [line.split() for line in table]
+    return sum(int(row[4].split(":")[0], 16) for row in rows if row[1] == local)
+
+
 class ResponseMemoryTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.folder = tempfile.TemporaryDirectory()
@@ -78,11 +86,13 @@
             node.backend.finish_run = finish_run
 
     async def assert_room_for_bodies(self, case):
-        """What the node holds, and what request bodies may take besides, must fit into the memory."""
+        """What the node holds, also in its kernel for its callers, and what request bodies may take besides, must fit
+        into the memory."""
         for node in self.fleet.nodes:
             limit = await self.fleet.metric(node, "snipeweir_body_memory_limit_bytes")
             used = await self.fleet.metric(node, "snipeweir_body_memory_used_bytes")
-            self.assertLess(node.memory() + limit - used + UNREAD, MEMORY, f"{case}, node {node.index}")
+            held = node.memory() + unacknowledged_bytes(node.ip, PORTS["callers"])
+            self.assertLess(held + limit - used + UNREAD, MEMORY, f"{case}, node {node.index}")
 
     async def open_callers(self, count, window=None):
         """Sends a request on each of many connections and reads nothing. Returns the connections."""
@@ -126,6 +136,26 @@
         for connection in callers:
             connection.close()
 
+    async def test_bytes_for_callers_that_stop_reading_take_the_nodes_memory(self):
+        for node in self.fleet.nodes[:-1]:
+            node.backend.mode, node.backend.endless = "endless", (CHUNKED, b"10000\r\n" + b"x" * 65_536 + b"\r\n")
+        callers = await self.open_callers(60)
+
+        async def read(connection):
+            # As long as a caller reads, the kernel lets its send buffer grow.
+            size = 0
+            while size < 600_000 and (data := await asyncio.get_running_loop().sock_recv(connection, 65_536)):
+                size += len(data)
+            return size
+
+        sizes = await asyncio.gather(*(read(connection) for connection in callers), return_exceptions=True)
+        self.assertGreater(sum(isinstance(size, int) and size >= 600_000 for size in sizes), 30)
+        for _ in range(4):
+            await self.assert_room_for_bodies("callers that stop reading")
+            await asyncio.sleep(0.25)
+        for connection in callers:
+            connection.close()
+
     async def watch_memory(self, node, seconds):
         """Returns the largest growth of the memory of a node."""
         before, peak, end = node.memory(), 0, time.monotonic() + seconds
