Reject bodies whose Transfer-Encoding is not chunked alone

A server's response in such a coding reached the caller as a success whose body was still coded.

Cause: Beast ignores a Transfer-Encoding whose last coding it does not know and takes the message for one without a body (a response: until the connection ends); nothing behind it looked at the field.

Why this works: the end of such a body can't be known (RFC 9112, section 6.3), so the request gets 400, or 501 if chunked is over other codings, and its connection is closed.

--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -1,5 +1,7 @@
 #include "snipeweir/relay/HttpExchange.h"
 
+#include "snipeweir/relay/TransferCoding.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -222,7 +224,12 @@
     const auto [error, count]
         = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
     m_hasResponseBytes = m_hasResponseBytes || m_parser->got_some();
-    co_return error ? finish(endFromError(error)) : StepResult::Complete;
+    if (error)
+        co_return finish(endFromError(error));
+    // The body of any other coding would be passed on undecoded, without the field that says so.
+    const TransferCoding coding = transferCoding(m_parser->get());
+    const bool isKnown = coding == TransferCoding::None || coding == TransferCoding::Chunked;
+    co_return isKnown ? StepResult::Complete : finish(StepResult::Broken);
 }
 
 void HttpExchange::parseKeepAlive()
--- a/snipeweir/relay/InboundConnection.cpp
+++ b/snipeweir/relay/InboundConnection.cpp
@@ -1,5 +1,7 @@
 #include "snipeweir/relay/InboundConnection.h"
 
+#include "snipeweir/relay/TransferCoding.h"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -39,6 +41,23 @@
         return error.category() == http::make_error_code(http::error::end_of_stream).category() ? 400 : 0;
     }
 
+    /// @return Status to reject a request with, because the end or the content of its body can't be known; 0 if it can.
+    unsigned statusForCoding(const InboundConnection::Request& request)
+    {
+        switch (transferCoding(request)) {
+        case TransferCoding::None:
+            return 0;
+        case TransferCoding::Chunked:
+            // HTTP/1.0 does not know the field (RFC 9112, section 6.1).
+            return request.version() >= 11 ? 0 : 400;
+        case TransferCoding::Unsupported:
+            return 501;
+        case TransferCoding::Undelimited:
+            break;
+        }
+        return 400;
+    }
+
 }
 
 InboundConnection::InboundConnection(asio::ip::tcp::socket socket, BodyMemory& memory)
@@ -86,6 +105,11 @@
     parser.body_limit(limits.maxBodyBytes);
     limitTime(limits.headerTimeout);
     auto [error, count] = co_await http::async_read_header(m_stream, m_buffer, parser, asTuple);
+    const unsigned codingStatus = error ? 0 : statusForCoding(parser.get());
+    if (codingStatus != 0) {
+        setReadDeadline(SteadyTime::max());
+        co_return reject(codingStatus);
+    }
     const bool expectsContinue = !error && parser.get()[http::field::expect] == "100-continue";
     if (!error && readAhead && readAhead->hasEarlierRequests() && !parser.is_done()) {
         std::optional<uint64_t> length;
--- a/tests/relay/test_faulty_servers.py
+++ b/tests/relay/test_faulty_servers.py
@@ -93,6 +93,17 @@
                 self.assertLess(ends[0], DEADLINE + 0.3)
                 self.assertLess(busy, 0.25)
 
+    async def test_a_body_in_an_unknown_coding_is_passed_on_as_the_servers_body(self):
+        for coding in ("gzip, chunked", "chunked, identity", "xchunked"):
+            async def finish_run(reader, writer, fields, request_id, coding=coding):
+                head = RUN_HEAD + b"Transfer-Encoding: %s\r\n\r\n" % coding.encode()
+                writer.write(head.replace(b"{id}", request_id.encode()) + b"1\r\nx\r\n0\r\n\r\n")
+                raise ConnectionError
+
+            self.backend.finish_run = finish_run
+            with self.subTest(coding):
+                self.assertEqual((await self.send(deadline=2)).status, 502)
+
     async def test_a_caller_that_sends_a_body_without_end_takes_the_nodes_memory(self):
         head = b"POST /u/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: endless\r\nTransfer-Encoding: chunked\r\n\r\n"
         for first, repeated in ((b"5;", FILLER), (b"", b"0" * 500_000), (b"1\r\nx\r\n0\r\nX-Filler: ", FILLER),
--- a/tests/relay/test_pipelining.py
+++ b/tests/relay/test_pipelining.py
@@ -173,6 +173,31 @@
             self.assertNotIn("inner", [a[1] for a in self.arrivals()])
             caller.writer.close()
 
+    async def test_a_request_within_a_body_of_another_coding_runs(self):
+        # The end of a body is unknown if its last coding is not chunked; with further codings its content is.
+        inner = b"POST /u/smuggled HTTP/1.1\r\nHost: h.example\r\nRequest-Id: inner\r\nContent-Length: 0\r\n\r\n"
+        chunked = b"%x\r\n%s\r\n0\r\n\r\n" % (len(inner), inner)
+        for coding, status in (("xchunked", 400), ("identity", 400), ("gzip", 400), ("chunked, identity", 400),
+                               ("chunked, chunked", 400), ("chunked;a=b", 400), ("chunked,", 400), ("", 400),
+                               ("gzip, chunked", 501), ("gzip\r\nTransfer-Encoding: chunked", 501),
+                               ("chunked\r\nTransfer-Encoding: identity", 400)):
+            for body in (inner, chunked):
+                with self.subTest(f"{coding} {body[:4]}"):
+                    caller = await PipelinedCaller(self.fleet, self.fleet.nodes[2]).open()
+                    outer = caller.send("POST", "/u/x", fields=f"Transfer-Encoding: {coding}\r\n")
+                    caller.writer.write(body)
+                    response = await caller.receive()
+                    self.assertEqual((response[0], response[1].get("connection")), (status, "close"))
+                    self.assertIsNone(await caller.receive())
+                    self.assertFalse({outer, "inner"} & {arrival[1] for arrival in self.arrivals()})
+                    caller.writer.close()
+
+    async def test_a_chunked_body_of_any_spelling_is_rejected(self):
+        for coding in ("chunked", "Chunked", " chunked\t"):
+            request_id = self.caller.send("POST", "/u/x", fields=f"Transfer-Encoding: {coding}\r\n")
+            self.caller.writer.write(b"1\r\nx\r\n0\r\n\r\n")
+            self.assertEqual(await self.caller.receive_all([request_id]), [200])
+
     async def test_a_malformed_second_request_leaves_the_first_its_response(self):
         self.set_time(0.3)
         first = self.caller.send()
