Take the service, the store's address and the seeds from changed settings

Cause: Relay::reload took some settings and left these, on the assumption that the platform restarts the process.

Why this works: the parts of the relay read the service from the settings that reload() changes, and the store's client asks for its address at each call.

--- a/programs/snipeweir-platform/Main.cpp
+++ b/programs/snipeweir-platform/Main.cpp
@@ -106,7 +106,8 @@
         BOOST_LEAF_ASSIGN(relay,
             snipeweir::Relay::create(settings.node, snipeweir::platform::platformNames(), clock, log,
                 [&](const snipeweir::asio::any_io_executor& executor) {
-                    return snipeweir::platform::createStoreSource(executor, clock, settings.store);
+                    return snipeweir::platform::createStoreSource(
+                        executor, clock, [&settings] { return settings.store; });
                 }));
         return {};
     });
@@ -115,11 +116,11 @@
         return exitStartFailed;
     }
     relay->haveSettingsChanged = [&watcher] { return watcher.hasChanged(); };
-    relay->reloadSettings = [&path]() -> std::optional<snipeweir::RelaySettings> {
+    relay->reloadSettings = [&path, &settings]() -> std::optional<snipeweir::RelaySettings> {
         return snipeweir::handleErrors(
             [&]() -> snipeweir::Result<std::optional<snipeweir::RelaySettings>> {
-                BOOST_LEAF_AUTO(reloaded, loadSettings(path));
-                return std::optional(reloaded.node);
+                BOOST_LEAF_ASSIGN(settings, loadSettings(path));
+                return std::optional(settings.node);
             },
             [](const snipeweir::Error&) { return std::optional<snipeweir::RelaySettings>(); });
     };
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -316,7 +316,7 @@
         m_log.logStateChange("reload", { { "outcome", "faulty" } });
         return;
     }
-    // Addresses and the service are fixed for the life of the process; the platform restarts it when they change.
+    // The addresses of this VM are fixed for the life of the process; the platform restarts it when they change.
     m_settings.retryBudgetPercent = settings->retryBudgetPercent;
     m_settings.retryBudgetExtra = settings->retryBudgetExtra;
     m_settings.coldFactor = settings->coldFactor;
@@ -327,10 +327,16 @@
     m_settings.quotaWindow = settings->quotaWindow;
     m_settings.quotaOverage = settings->quotaOverage;
     m_settings.quotaSlack = settings->quotaSlack;
-    const bool hasSameAddresses = settings->service == m_settings.service
-        && settings->backendAddress == m_settings.backendAddress
+    m_settings.seeds = settings->seeds;
+    const bool hasSameAddresses = settings->backendAddress == m_settings.backendAddress
         && settings->callersAddress == m_settings.callersAddress && settings->peersAddress == m_settings.peersAddress;
-    m_log.logStateChange("reload", { { "outcome", hasSameAddresses ? "taken" : "taken_without_addresses" } });
+    if (settings->service != m_settings.service) {
+        m_settings.service = settings->service;
+        m_server.onServiceChanged();
+    }
+    m_log.logStateChange("reload",
+        { { "outcome", hasSameAddresses ? "taken" : "taken_without_addresses" },
+            { "service", m_settings.service.text() } });
     onViewChanged();
 }
 
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -76,6 +76,13 @@
     advanceGate();
 }
 
+void ServerPath::onServiceChanged()
+{
+    m_retries.setOwnService(m_node.service);
+    m_gate.assumeCold();
+    onViewChanged();
+}
+
 void ServerPath::stopTakingRequests()
 {
     if (m_isStopping)
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -59,6 +59,8 @@
 
     /// Applies the fleet view and the settings to the gate. Call after either has changed.
     void onViewChanged();
+    /// Applies a change of the service in the settings: another backend server now runs at the same address.
+    void onServiceChanged();
     /// Refuses new requests from now on, for a planned stop.
     void stopTakingRequests();
 
--- a/snipeweir/retry/RetryControl.h
+++ b/snipeweir/retry/RetryControl.h
@@ -39,6 +39,9 @@
     {
     }
 
+    /// Sets the service of the backend server beside this node; see the constructor.
+    void setOwnService(const ServiceName& service) { m_ownService = service; }
+
     /// Sets the budget. The highest number of nodes so far counts, so that a view that shrinks, e.g. in a partition,
     /// does not raise the shares.
     void setFleetBudget(const FleetBudget&);
--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -395,6 +395,7 @@
         self.backend = Backend(f"i-{index}", service)
         self.backend_proxy = Proxy((self.ip, PORTS["backend"]), (self.ip, PORTS["backend"] + 100))
         self.store_proxy = Proxy((fleet.store.ip, 7400 + index), (fleet.store.ip, 7309))
+        self.store_port = 7400 + index
         self.process = None
         self.seeds = []  # Nodes
 
@@ -402,13 +403,18 @@
         return {"vm": f"node-{self.index}", "data_centre": self.zone, "service": self.service,
                 "backend_address": f"{self.ip}:{PORTS['backend']}", "callers_address": f"{self.ip}:{PORTS['callers']}",
                 "peers_address": f"{self.ip}:{PORTS['peers']}", "readiness_address": f"{self.ip}:{PORTS['ready']}",
-                "query_port": PORTS["query"], "store_address": f"{self.fleet.store.ip}:{7400 + self.index}",
+                "query_port": PORTS["query"], "store_address": f"{self.fleet.store.ip}:{self.store_port}",
                 "seeds": [f"{seed.ip}:7399" for seed in self.seeds], "bounds": BOUNDS | self.fleet.more_bounds}
 
-    async def start_process(self):
+    def write_settings(self):
+        """Writes the settings file and returns its path."""
         path = os.path.join(self.fleet.folder, f"node-{self.index}.json")
         with open(path, "w") as file:
             json.dump(self.settings(), file)
+        return path
+
+    async def start_process(self):
+        path = self.write_settings()
         log = open(os.path.join(self.fleet.folder, f"node-{self.index}.log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
             self.fleet.program, "--settings", path, stdout=log, stderr=log)
--- a/tests/relay/test_rules.py
+++ b/tests/relay/test_rules.py
@@ -11,7 +11,7 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from fleet import Announcer, Fleet, PORTS  # noqa: E402
+from fleet import Announcer, Backend, Fleet, PORTS, Proxy  # noqa: E402
 
 PROGRAM = sys.argv.pop(1) if len(sys.argv) > 1 else "build/bin/snipeweir-platform"
 
@@ -298,6 +298,49 @@
             await asyncio.sleep(0.3)
             self.assertEqual((await self.fleet.send(node, "GET", "/s/x")).status, 200)
 
+    async def test_requests_carry_the_service_before_a_change_of_the_settings(self):
+        # The address of a server that has ended goes to a server of another service.
+        node = self.fleet.nodes[0]
+        self.fleet.configure([self.fleet.route("/s/", "safe", "one"), self.fleet.route("/t/", "safe", "two")])
+        self.fleet.register(node, "draining")
+        await asyncio.sleep(1)
+        self.fleet.store.remove(f"servers/{node.backend.instance}")
+        await node.backend.stop()
+        node.backend_proxy.reset_all()
+        await asyncio.sleep(1)
+        born = node.backend.born + 60_000
+        node.service, node.backend = "two", Backend("i-new", "two")
+        node.backend.born = born
+        await node.backend.start(node.ip, PORTS["backend"] + 100)
+        self.fleet.register(node)
+        node.write_settings()
+        node.signal(signal.SIGHUP)
+        await asyncio.sleep(2)
+        begin = time.monotonic()
+        responses = [await self.fleet.send(node, "GET", "/s/x") for _ in range(10)]
+        responses += [await self.fleet.send(other, "GET", "/t/x") for other in self.fleet.nodes for _ in range(8)]
+        self.assertEqual({response.status for response in responses}, {200})
+        services = {fields["caller-service"] for other in self.fleet.nodes if other is not node
+                    for at, _, line, fields in other.backend.arrivals if at > begin and "/s/x" in line}
+        self.assertEqual(services, {"two"})
+        self.assertGreater(len(node.backend.arrivals), 0)
+
+    async def test_nodes_stay_at_the_store_before_a_change_of_the_settings(self):
+        proxies = []
+        for node in self.fleet.nodes:
+            node.store_port += 50
+            proxies.append(Proxy((self.fleet.store.ip, node.store_port), (self.fleet.store.ip, 7309)))
+            await proxies[-1].start()
+            node.store_proxy.set_mode("reset")
+            node.write_settings()
+            node.signal(signal.SIGHUP)
+        self.fleet.configure([self.fleet.route("/new/", "safe", "one")])
+        await asyncio.sleep(3)
+        for node in self.fleet.nodes:
+            self.assertEqual((await self.fleet.send(node, "GET", "/new/x")).status, 200)
+        for proxy in proxies:
+            await proxy.stop()
+
     async def test_settings_that_change_without_a_signal_are_in_force_within_two_seconds(self):
         node = self.fleet.nodes[0]
         path = os.path.join(self.folder.name, "node-0.json")
