Hold a response while requests behind it have started

Cause: a response of more than 64 KB was written before it was complete, also while requests behind it had started, and requests started behind one that was being written.

Why this works: a response that is held and breaks off becomes a 502, and the connection goes on; behind one that is being streamed nothing has started that could be lost. What does not fit into the 1 MiB of the connection is still streamed.

--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -147,7 +147,7 @@
     m_server.retries().onAnswered(request.service,
         call->response->kind == Response::Kind::NotRun ? call->response->reason : Reason::None,
         call->response->retryReport);
-    if (!connection.isTurn())
+    if (!connection.isTurn() || connection.hasStartedBehind())
         co_await holdResponse(connection, *call);
     // While a response is streamed, its server may send nothing for long.
     if (!call->response->rest)
--- a/snipeweir/relay/CallerPath.h
+++ b/snipeweir/relay/CallerPath.h
@@ -90,8 +90,11 @@
     /// @return Whether the request may run now; it then counts as started.
     bool tryStart(RequestConnection&);
     /// Waits until it is the response's turn to be written. Reads the rest of its body meanwhile, as far as the memory
-    /// limits allow, so that the backend server's slot becomes free.
+    /// limits allow, so that the backend server's slot becomes free. Reads on in its turn while requests behind it have
+    /// started: they lose their responses if this one breaks off once it has begun.
     asio::awaitable<void> holdResponse(RequestConnection&, Call&);
+    /// Reads the rest of the body while it must be held and there is memory for it.
+    asio::awaitable<void> readHeldBody(RequestConnection&, Call&);
     /// Responds to a request that was rejected while it was read.
     asio::awaitable<void> rejectUnread(RequestConnection&);
     void finishRequest(RequestConnection&);
--- a/snipeweir/relay/CallerPipeline.cpp
+++ b/snipeweir/relay/CallerPipeline.cpp
@@ -131,9 +131,18 @@
 }
 
 asio::awaitable<void> CallerPath::holdResponse(RequestConnection& connection, Call& call)
+{
+    co_await readHeldBody(connection, call);
+    co_await connection.waitForTurn();
+    // The responses before it have released their memory.
+    co_await readHeldBody(connection, call);
+}
+
+asio::awaitable<void> CallerPath::readHeldBody(RequestConnection& connection, Call& call)
 {
     Response& response = *call.response;
-    while (response.rest && !call.isCallerDisconnected && !connection.isTurn()) {
+    const auto mustHold = [&] { return !connection.isTurn() || connection.hasStartedBehind(); };
+    while (response.rest && !call.isCallerDisconnected && mustHold()) {
         // Growing the string needs memory for its old and its new content.
         const size_t needed = response.body.size() + readChunkBytes;
         if (needed > response.body.capacity()) {
@@ -151,7 +160,6 @@
             response = Response::unknown(
                 end == StepResult::TimedOut ? Reason::DeadlineWhileRunning : Reason::ResponseTruncated);
     }
-    co_await connection.waitForTurn();
 }
 
 }
--- a/snipeweir/relay/RequestConnection.cpp
+++ b/snipeweir/relay/RequestConnection.cpp
@@ -107,6 +107,7 @@
 {
     if (!rest.contentLength() && !m_form.hasChunkedCoding)
         m_form.isKeepAlive = false;
+    m_connection->m_sequencer.onStarted(m_position, ResponseSequencer::RunMode::Exclusive);
     beginResponse();
     return m_connection->m_inbound.writeStreamed(std::move(head), std::move(body), rest, deadline, clock);
 }
--- a/snipeweir/relay/RequestConnection.h
+++ b/snipeweir/relay/RequestConnection.h
@@ -48,6 +48,9 @@
     /// @return Whether all responses before that of the request have been written.
     bool isTurn() const { return m_connection->m_sequencer.mayWrite(m_position); }
 
+    /// @return Whether a request behind this one on the connection has started.
+    bool hasStartedBehind() const { return m_connection->m_sequencer.hasStartedBehind(m_position); }
+
     /// @return False if the request is cancelled.
     asio::awaitable<bool> waitForTurn();
 
@@ -65,7 +68,7 @@
     asio::awaitable<bool> writeComplete(std::string head, const std::string& body, SteadyTime deadline);
 
     /// Writes a response while the rest of its body is being read; see InboundConnection::writeStreamed. The turn of
-    /// the request must have come.
+    /// the request must have come. Nothing behind it starts meanwhile, since the response may break off.
     asio::awaitable<bool> writeStreamed(
         std::string head, std::string body, HttpExchange& rest, SteadyTime deadline, const Clock&);
 
--- a/snipeweir/relay/ResponseSequencer.cpp
+++ b/snipeweir/relay/ResponseSequencer.cpp
@@ -61,6 +61,12 @@
     started.mode = mode;
 }
 
+bool ResponseSequencer::hasStartedBehind(Position position) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(),
+        [&](const Entry& behind) { return behind.position > position && behind.hasStarted; });
+}
+
 bool ResponseSequencer::mayHold(Position position, size_t bytes) const
 {
     const size_t others = m_heldBytes - entry(position).responseBytes;
@@ -79,9 +85,7 @@
 ResponseSequencer::AfterResponse ResponseSequencer::onWriting(Position position, AfterResponse wanted)
 {
     assert(mayWrite(position));
-    const bool hasStartedBehind
-        = std::any_of(m_entries.begin() + 1, m_entries.end(), [](const Entry& behind) { return behind.hasStarted; });
-    if (wanted == AfterResponse::KeepOpen && (!m_isStopping || hasStartedBehind))
+    if (wanted == AfterResponse::KeepOpen && (!m_isStopping || hasStartedBehind(position)))
         return AfterResponse::KeepOpen;
     m_isClosing = true;
     return AfterResponse::Close;
--- a/snipeweir/relay/ResponseSequencer.h
+++ b/snipeweir/relay/ResponseSequencer.h
@@ -61,6 +61,9 @@
     bool mayStart(Position, RunMode) const;
     void onStarted(Position, RunMode);
 
+    /// @return Whether a request behind this one has started. It would get no response if this one's broke off.
+    bool hasStartedBehind(Position) const;
+
     /// @param bytes Memory for the response of the request, in total.
     bool mayHold(Position, size_t bytes) const;
     void hold(Position, size_t bytes);
--- a/tests/relay/test_pipelining.py
+++ b/tests/relay/test_pipelining.py
@@ -219,11 +219,11 @@
 
     async def test_a_response_that_closes_the_connection_cancels_what_is_behind_it(self):
         # The first response breaks off while it is streamed, so the connection cannot be used further. It comes before
-        # a hedge would be sent.
+        # a hedge would be sent, and is too large to be held.
         self.set_time(0.2, "one")
         self.set_time(3.0, "two")
         for backend in self.servers():
-            backend.body = b"x" * 300_000
+            backend.body = b"x" * 3_000_000
             backend.mode = "cut" if backend.service == "one" else "ok"
         self.caller.send(path="/s/x")
         behind = [self.caller.send(path="/q/x"), self.caller.send("POST", "/u/x"), self.caller.send(path="/s/x")]
@@ -234,6 +234,30 @@
         self.assertEqual(self.aborted(), {behind[0]})
         self.assertEqual(await self.fleet.metric(self.fleet.nodes[2], "snipeweir_pipelined_unanswered_total"), 3)
 
+    async def test_a_response_that_breaks_off_takes_those_behind_it_along(self):
+        self.set_time(0.2, "one")
+        self.set_time(0.4, "two")
+        for backend in self.servers():
+            backend.body = b"x" * 300_000
+            backend.mode = "cut" if backend.service == "one" else "ok"
+        ids = [self.caller.send(path=path) for path in ("/s/x", "/q/x", "/q/x")]
+        self.assertEqual(await self.caller.receive_all(ids), [502, 200, 200])
+        self.assertEqual([self.runs(request_id) for request_id in ids[1:]], [1, 1])
+
+    async def test_a_request_starts_behind_a_response_that_is_being_streamed(self):
+        # It would lose its response if that one broke off.
+        self.set_time(0.1)
+        for backend in self.servers():
+            backend.body = b"x" * 3_000_000
+        first = self.caller.send(path="/s/x")
+        head = await read_head(self.caller.reader)
+        behind = self.caller.send(path="/q/x")
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.runs(behind), 0)
+        await self.caller.reader.readexactly(int(head[1]["content-length"]))
+        self.assertEqual(head[1]["request-id"], first)
+        self.assertEqual(await self.caller.receive_all([behind]), [200])
+
     async def test_nothing_behind_a_request_that_closes_the_connection_runs(self):
         self.set_time(0.2)
         first = self.caller.send(fields="Connection: close\r\n")
