Let the kernel take all of a response once the node stops

Cause: what the kernel has is still sent after the process has ended; what the limit leaves with the process is cut.

Why this works: a stopping node lifts the limit with the next part that it writes.

--- a/snipeweir/relay/CallerConnection.cpp
+++ b/snipeweir/relay/CallerConnection.cpp
@@ -19,6 +19,7 @@
     , m_roomTimer(m_inbound.executor())
     , m_stallTimer(m_inbound.executor())
 {
+    m_inbound.isStopping = [this] { return isStopping(); };
     m_readAhead.hasEarlierRequests = [this] { return m_isReadUnlimited = !m_sequencer.isIdle(); };
     m_readAhead.waitForBody = [this](std::optional<uint64_t> length) { return waitForBody(length); };
 }
--- a/snipeweir/relay/Connection.cpp
+++ b/snipeweir/relay/Connection.cpp
@@ -41,6 +41,12 @@
     socket.set_option(TcpOption<TCP_KEEPCNT>(2), ignored);
 }
 
+void liftUnsentLimit(asio::ip::tcp::socket& socket)
+{
+    error_code ignored; // See setTcpOptions().
+    socket.set_option(TcpOption<TCP_NOTSENT_LOWAT>(INT_MAX), ignored);
+}
+
 void setUserTimeout(asio::ip::tcp::socket& socket, std::chrono::nanoseconds userTimeout)
 {
     // Zero would select the system's default.
--- a/snipeweir/relay/Connection.h
+++ b/snipeweir/relay/Connection.h
@@ -31,6 +31,9 @@
 /// Sets the user timeout alone, see setTcpOptions().
 void setUserTimeout(asio::ip::tcp::socket&, std::chrono::nanoseconds userTimeout);
 
+/// Lets the kernel take as much as the send buffer holds, as it would without setTcpOptions().
+void liftUnsentLimit(asio::ip::tcp::socket&);
+
 /// Bounds the unread bytes that the kernel holds for a connection, which count as memory of this process. Must be
 /// called before the connection is opened, since the window is negotiated then; a listening socket passes it on to the
 /// connections that it accepts.
--- a/snipeweir/relay/InboundConnection.cpp
+++ b/snipeweir/relay/InboundConnection.cpp
@@ -267,6 +267,10 @@
 
 asio::awaitable<bool> InboundConnection::write(const std::string& first, const std::string& second, SteadyTime deadline)
 {
+    if (m_isUnsentLimited && isStopping && isStopping()) {
+        m_isUnsentLimited = false;
+        liftUnsentLimit(m_stream.socket());
+    }
     expireAt(m_stream, deadline);
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(first), asio::buffer(second) };
     const auto [error, count] = co_await asio::async_write(m_stream, buffers, asTuple);
--- a/snipeweir/relay/InboundConnection.h
+++ b/snipeweir/relay/InboundConnection.h
@@ -47,6 +47,10 @@
     /// @param memory Limits the memory of the request bodies.
     InboundConnection(asio::ip::tcp::socket socket, BodyMemory& memory);
 
+    /// Returns whether the process ends soon. The kernel then takes all of a response that it can hold, and still sends
+    /// it when the process has ended. May be empty.
+    std::function<bool()> isStopping;
+
     /// Waits for the next request and reads it to the end.
     /// @param readAhead Conditions if earlier requests may be in progress. The form of the response is then set by
     /// respondTo(). If null, the request must have its response before the next read.
@@ -150,6 +154,7 @@
     std::shared_ptr<const bool> m_lifetime = std::make_shared<bool>(true);
 
     bool m_isResetOnClose = false;
+    bool m_isUnsentLimited = true;
     ResponseForm m_readForm;
     ResponseForm m_form;
 };
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -187,6 +187,7 @@
 asio::awaitable<void> Relay::servePeer(asio::ip::tcp::socket socket)
 {
     InboundConnection connection(std::move(socket), *m_bodyMemory);
+    connection.isStopping = [this] { return m_stopSchedule.has_value(); };
     while (connection.isKeepAlive()) {
         const auto end = co_await connection.read(peerLimits());
         if (end == InboundConnection::ReadResult::Rejected && connection.rejectionStatus() == 503)
