--- a/tests/relay/test_pipelining.py
+++ b/tests/relay/test_pipelining.py
@@ -192,6 +192,15 @@
                     self.assertFalse({outer, "inner"} & {arrival[1] for arrival in self.arrivals()})
                     caller.writer.close()
 
+    async def test_a_chunked_body_in_http_1_0_runs(self):
+        # HTTP/1.0 knows no Transfer-Encoding, so such a body has two possible ends.
+        self.caller.writer.write(b"POST /u/x HTTP/1.0\r\nHost: h.example\r\nRequest-Id: old\r\n"
+                                 b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n")
+        response = await self.caller.receive()
+        self.assertEqual((response[0], response[1].get("connection")), (400, "close"))
+        self.assertIsNone(await self.caller.receive())
+        self.assertNotIn("old", [arrival[1] for arrival in self.arrivals()])
+
     async def test_a_chunked_body_of_any_spelling_is_rejected(self):
         for coding in ("chunked", "Chunked", " chunked\t"):
             request_id = self.caller.send("POST", "/u/x", fields=f"Transfer-Encoding: {coding}\r\n")
