Don't leave nodes of a test behind, and don't take the addresses of those that are

Cause: unittest does not tear a test down whose set-up fails, and a test that is killed tears nothing down; its nodes go on holding their addresses. The claim on a subnet ends with the test, so the next one with the same number takes it.

Evidence: at that time 14 nodes of a trial with a faulty program held 127.101 and 127.102. With a process number that leads to 127.101, the set-ups of the first two tests fail with this message and the third passes: 1 of 1 run.

Why this works: nodes are killed when their test ends, however it ends; a set-up that fails stops its nodes; addresses on which a process listens are not taken. Of the two new tests both fail without the change to fleet.py; 19 of 19 pass with it.

--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import ctypes
 import itertools
 import json
 import os
@@ -25,16 +26,38 @@
     writer.transport.abort()
 
 
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Lets this process be killed when its parent ends, however that ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def is_listening(address):
+    """Whether a process listens on a TCP address of this machine."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(address)
+        except OSError:
+            return True
+    return False
+
+
 def claim_subnet():
-    """Returns the first two bytes of loopback addresses that no other test uses, and the socket that holds the claim."""
+    """Returns the first two bytes of loopback addresses that no other test uses, and the socket that holds the claim.
+    A node that outlived its test holds addresses without a claim."""
     for attempt in range(100):
         subnet = f"127.{100 + (os.getpid() + attempt) % 100}"
         claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             claim.bind((f"{subnet}.9.8", 7399))
-            return subnet, claim
+            if not is_listening((f"{subnet}.0.1", PORTS["callers"])):
+                return subnet, claim
         except OSError:
-            claim.close()
+            pass
+        claim.close()
     raise RuntimeError("tests of other processes use all subnets")
 
 
@@ -417,7 +440,7 @@
         path = self.write_settings()
         log = open(os.path.join(self.fleet.folder, f"node-{self.index}.log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
-            self.fleet.program, "--settings", path, stdout=log, stderr=log)
+            self.fleet.program, "--settings", path, stdout=log, stderr=log, preexec_fn=end_with_parent)
         log.close()
 
     def signal(self, number):
@@ -438,6 +461,11 @@
         with open(os.path.join(self.fleet.folder, f"node-{self.index}.log"), encoding="utf-8", errors="replace") as log:
             return '"event":"server_instance"' in log.read().rpartition('"event":"start"')[2]
 
+    def last_line(self):
+        """Returns the last line of the process's log."""
+        with open(os.path.join(self.fleet.folder, f"node-{self.index}.log"), encoding="utf-8", errors="replace") as log:
+            return (log.read().splitlines() or ["none"])[-1]
+
     async def is_ready(self):
         try:
             response = await self.fleet.send(self, "GET", "/v1/ready", port=PORTS["ready"], deadline=1000)
@@ -536,14 +564,19 @@
         for node in self.nodes:
             await node.start_process()
         if with_config:
-            await self.wait_ready()
+            try:
+                await self.wait_ready()
+            except AssertionError:
+                # A test whose set-up fails is not torn down.
+                await self.stop()
+                raise
 
     async def wait_ready(self, timeout=8.0):
         end = time.monotonic() + timeout
         for node in self.nodes:
             while not await node.is_ready() or not node.has_checked_backend():
                 if time.monotonic() > end:
-                    raise AssertionError(f"node {node.index} is not ready after {timeout} s")
+                    raise AssertionError(f"node {node.index} is not ready after {timeout} s, log: {node.last_line()}")
                 await asyncio.sleep(0.05)
         # Nodes know each other once the reading node has read all entries and announced them.
         await asyncio.sleep(0.3)
--- a/tests/relay/test_soak_checker.py
+++ b/tests/relay/test_soak_checker.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import random
+import socket
 import sys
 import time
 import types
@@ -13,7 +14,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import soak as soak_module  # noqa: E402
-from fleet import Backend, Response, Store, claim_subnet  # noqa: E402
+from fleet import Backend, PORTS, Response, Store, claim_subnet  # noqa: E402
 
 
 class FakeProcess:
@@ -220,6 +221,26 @@
         second_claim.close()
         self.assertNotEqual(first, second)
 
+    async def test_a_fleet_gets_the_addresses_of_a_node_that_outlived_its_test(self):
+        subnet, claim = claim_subnet()
+        with socket.create_server((f"{subnet}.0.1", PORTS["callers"])):
+            claim.close()
+            other, claim = claim_subnet()
+            claim.close()
+        self.assertNotEqual(subnet, other)
+
+    async def test_a_node_outlives_a_test_that_is_killed(self):
+        folder = os.path.dirname(os.path.abspath(__file__))
+        child = "import time; print('started', flush=True); time.sleep(60)"
+        parent = (f"import subprocess, sys; sys.path.insert(0, {folder!r}); from fleet import end_with_parent; "
+                  f"subprocess.run([sys.executable, '-c', {child!r}], preexec_fn=end_with_parent)")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", parent, stdout=asyncio.subprocess.PIPE)
+        self.assertEqual(await process.stdout.readline(), b"started\n")
+        process.kill()
+        # The child holds the other end of the pipe as long as it runs.
+        self.assertEqual(await asyncio.wait_for(process.stdout.read(), 5), b"")
+
 
 if __name__ == "__main__":
     unittest.main()
