Read a node's log in one place in the tests, and start responses without end in one

Two functions of fleet.py opened the same log, and two tests set up the same endless responses in the same two lines. No assertion changes; the message of a node that is not ready has the end of its log in place of the last line.

--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -456,15 +456,14 @@
         with open(f"/proc/{self.process.pid}/statm", encoding="ascii") as statm:
             return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
-    def has_checked_backend(self):
-        """Whether the process has received a health check response. Until then it treats the server as cold."""
+    def log_text(self):
+        """Returns the logs of all processes of the node."""
         with open(os.path.join(self.fleet.folder, f"node-{self.index}.log"), encoding="utf-8", errors="replace") as log:
-            return '"event":"server_instance"' in log.read().rpartition('"event":"start"')[2]
+            return log.read()
 
-    def last_line(self):
-        """Returns the last line of the process's log."""
-        with open(os.path.join(self.fleet.folder, f"node-{self.index}.log"), encoding="utf-8", errors="replace") as log:
-            return (log.read().splitlines() or ["none"])[-1]
+    def has_checked_backend(self):
+        """Whether the process has received a health check response. Until then it treats the server as cold."""
+        return '"event":"server_instance"' in self.log_text().rpartition('"event":"start"')[2]
 
     async def is_ready(self):
         try:
@@ -576,7 +575,7 @@
         for node in self.nodes:
             while not await node.is_ready() or not node.has_checked_backend():
                 if time.monotonic() > end:
-                    raise AssertionError(f"node {node.index} is not ready after {timeout} s, log: {node.last_line()}")
+                    raise AssertionError(f"node {node.index} is not ready after {timeout} s, log: {node.log_text()[-300:]}")
                 await asyncio.sleep(0.05)
         # Nodes know each other once the reading node has read all entries and announced them.
         await asyncio.sleep(0.3)
--- a/tests/relay/test_response_memory.py
+++ b/tests/relay/test_response_memory.py
@@ -85,6 +85,10 @@
         for node in self.fleet.nodes[:-1]:
             node.backend.finish_run = finish_run
 
+    def send_endlessly(self):
+        for node in self.fleet.nodes[:-1]:
+            node.backend.mode, node.backend.endless = "endless", (CHUNKED, b"10000\r\n" + b"x" * 65_536 + b"\r\n")
+
     async def assert_room_for_bodies(self, case):
         """What the node holds, also in its kernel for its callers, and what request bodies may take besides, must fit
         into the memory."""
@@ -127,8 +131,7 @@
                 await asyncio.sleep(2)
 
     async def test_responses_without_end_to_slow_callers_take_the_nodes_memory(self):
-        for node in self.fleet.nodes[:-1]:
-            node.backend.mode, node.backend.endless = "endless", (CHUNKED, b"10000\r\n" + b"x" * 65_536 + b"\r\n")
+        self.send_endlessly()
         callers = await self.open_callers(200, window=4096)
         for _ in range(3):
             await asyncio.sleep(0.7)
@@ -137,8 +140,7 @@
             connection.close()
 
     async def test_bytes_for_callers_that_stop_reading_take_the_nodes_memory(self):
-        for node in self.fleet.nodes[:-1]:
-            node.backend.mode, node.backend.endless = "endless", (CHUNKED, b"10000\r\n" + b"x" * 65_536 + b"\r\n")
+        self.send_endlessly()
         callers = await self.open_callers(60)
 
         async def read(connection):
