Refuse responses whose status is outside 100 to 599

Callers got responses with status 000 (also 001, 099, 600, 999) as answers, beside the server and behind a hop. A refusal with such a status became a 503, which says "not run", and a 0xx behind a hop was told as 502 only since the next node answered with another line.

Cause: Boost.Beast takes any three digits for a status, and HttpExchange asked nobody else. 0xx was neither interim nor, further on, an error.

Change: findResponseFault() in snipeweir/core says what a valid head is: version, status, names, values, lengths and transfer codings. HttpExchange asks it for each interim and final head, so backend servers, health checks, the store and other nodes are held to the same. A refused response ends its exchange as broken: the connection is closed, the outcome is unknown (502, or another send of an idempotent request), and the reason is answer_malformed. The new event malformed_response and the field fault of ran say why, also for the chunks and trailers that Beast refuses.

--- a/programs/snipeweir-platform/Main.cpp
+++ b/programs/snipeweir-platform/Main.cpp
@@ -107,7 +107,8 @@
             snipeweir::Relay::create(settings.node, snipeweir::platform::platformNames(), clock, log,
                 [&](const snipeweir::asio::any_io_executor& executor) {
                     return snipeweir::platform::createStoreSource(
-                        executor, clock, [&settings] { return settings.store; });
+                        executor, clock, [&settings] { return settings.store; },
+                        snipeweir::malformedResponseLogger(log));
                 }));
         return {};
     });
--- a/snipeweir/core/CallTypes.cpp
+++ b/snipeweir/core/CallTypes.cpp
@@ -12,7 +12,7 @@
         "unknown",
     };
 
-    constexpr std::array<std::string_view, 47> reasonNames {
+    constexpr std::array<std::string_view, 48> reasonNames {
         "none",
         "server_limit",
         "class_limit",
@@ -60,6 +60,7 @@
         "cancelled_while_running",
         "answer_cut_short",
         "answer_not_kept",
+        "answer_malformed",
     };
 
     constexpr std::array<std::string_view, 11> retryReasonNames {
--- a/snipeweir/core/CallTypes.h
+++ b/snipeweir/core/CallTypes.h
@@ -79,9 +79,11 @@
     CancelledWhileRunning,
     ResponseTruncated,
     ResponseNotKept,
+    /// The bytes that arrived are not a valid response.
+    MalformedResponse,
 };
 
-constexpr int reasonCount = static_cast<int>(Reason::ResponseNotKept) + 1;
+constexpr int reasonCount = static_cast<int>(Reason::MalformedResponse) + 1;
 
 /// Why a call was retried or not.
 enum class RetryReason {
--- /dev/null
+++ b/snipeweir/core/ResponseSyntax.cpp
@@ -0,0 +1,125 @@
+#include "snipeweir/core/ResponseSyntax.h"
+
+#include "snipeweir/core/IgnoreCase.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace snipeweir {
+
+namespace {
+
+    constexpr unsigned http10 = 10;
+    constexpr unsigned http11 = 11;
+
+    bool isAlphanumeric(char c) { return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z'); }
+
+    bool isTokenCharacter(char c)
+    {
+        return isAlphanumeric(c)
+            || (c != '\0' && std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos);
+    }
+
+    /// @return Whether a character may stand in a value or a reason: visible, blank, tab, or not ASCII.
+    bool isTextCharacter(char c)
+    {
+        const auto byte = static_cast<unsigned char>(c);
+        return byte == '\t' || (byte >= ' ' && byte != 0x7F);
+    }
+
+    bool isText(std::string_view text) { return std::all_of(text.begin(), text.end(), isTextCharacter); }
+
+    std::string_view trimmed(std::string_view text)
+    {
+        const auto first = text.find_first_not_of(" \t");
+        return first == std::string_view::npos ? std::string_view()
+                                               : text.substr(first, text.find_last_not_of(" \t") - first + 1);
+    }
+
+    std::optional<uint64_t> parseLength(std::string_view text)
+    {
+        uint64_t value = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+        const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+        return isNumber ? std::optional(value) : std::nullopt;
+    }
+
+    /// @return The single length that a list of lengths repeats; empty if there is none.
+    std::optional<uint64_t> parseLengths(std::string_view list)
+    {
+        std::optional<uint64_t> length;
+        for (size_t begin = 0; begin <= list.size();) {
+            const size_t end = std::min(list.find(',', begin), list.size());
+            const auto next = parseLength(trimmed(list.substr(begin, end - begin)));
+            if (!next || (length && *length != *next))
+                return std::nullopt;
+            length = next;
+            begin = end + 1;
+        }
+        return length;
+    }
+
+    std::optional<ResponseFault> findFramingFault(const ResponseHeadView& head)
+    {
+        std::optional<uint64_t> length;
+        bool isCoded = false;
+        for (const ResponseField& field : head.fields) {
+            if (equalsIgnoringCase(field.name, "Content-Length")) {
+                const auto next = parseLengths(field.value);
+                if (!next || (length && *length != *next))
+                    return ResponseFault::ContentLength;
+                length = next;
+            } else if (equalsIgnoringCase(field.name, "Transfer-Encoding")) {
+                // Several fields are one list (RFC 9110, section 5.3).
+                if (isCoded || !equalsIgnoringCase(field.value, "chunked"))
+                    return ResponseFault::TransferCoding;
+                isCoded = true;
+            }
+        }
+        if (isCoded && length)
+            return ResponseFault::TransferCoding;
+        return std::nullopt;
+    }
+
+}
+
+std::string_view responseFaultName(ResponseFault fault)
+{
+    switch (fault) {
+    case ResponseFault::Version:
+        return "version";
+    case ResponseFault::Status:
+        return "status";
+    case ResponseFault::FieldName:
+        return "field_name";
+    case ResponseFault::FieldValue:
+        return "field_value";
+    case ResponseFault::ContentLength:
+        return "content_length";
+    case ResponseFault::TransferCoding:
+        return "transfer_coding";
+    }
+    return "";
+}
+
+std::optional<ResponseFault> findResponseFault(const ResponseHeadView& head)
+{
+    if (head.version != http10 && head.version != http11)
+        return ResponseFault::Version;
+    if (head.status < 100 || head.status > 599)
+        return ResponseFault::Status;
+    for (const ResponseField& field : head.fields) {
+        if (const auto fault = findFieldFault(field))
+            return fault;
+    }
+    return findFramingFault(head);
+}
+
+std::optional<ResponseFault> findFieldFault(const ResponseField& field)
+{
+    if (field.name.empty() || !std::all_of(field.name.begin(), field.name.end(), isTokenCharacter))
+        return ResponseFault::FieldName;
+    return isText(field.value) ? std::nullopt : std::optional(ResponseFault::FieldValue);
+}
+
+}
--- /dev/null
+++ b/snipeweir/core/ResponseSyntax.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace snipeweir {
+
+/// What makes a response invalid (RFC 9110, RFC 9112).
+enum class ResponseFault {
+    /// Neither HTTP/1.0 nor HTTP/1.1.
+    Version,
+    /// Outside 100 to 599.
+    Status,
+    FieldName,
+    FieldValue,
+    ContentLength,
+    /// A transfer coding other than chunked alone, or one beside a length.
+    TransferCoding,
+};
+
+/// @return Stable snake_case name, as in logs.
+std::string_view responseFaultName(ResponseFault);
+
+/// A header field as received; the value is without leading and trailing whitespace.
+struct ResponseField {
+    std::string_view name;
+    std::string_view value;
+};
+
+/// The decoded head of a response.
+struct ResponseHeadView {
+    /// 10 for HTTP/1.0, 11 for HTTP/1.1.
+    unsigned version = 0;
+    unsigned status = 0;
+    std::span<const ResponseField> fields;
+};
+
+/// Decides what is a valid response. Every reader of responses asks this function before it acts on a head, whether
+/// interim or final, because the libraries that decode heads accept more.
+/// @return The first fault; empty if the head is valid.
+std::optional<ResponseFault> findResponseFault(const ResponseHeadView&);
+
+/// @return The fault of a field of the head or the trailer, on its own; empty if it has none.
+std::optional<ResponseFault> findFieldFault(const ResponseField&);
+
+}
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -51,6 +51,7 @@
     , m_splitter(seed + 1)
     , m_pool(executor, clock, ConnectionPool::Settings())
 {
+    m_pool.onMalformedResponse = malformedResponseLogger(log);
 }
 
 asio::awaitable<void> CallerPath::serveRequest(RequestConnection& connection)
@@ -261,7 +262,7 @@
     // Without its body the request cannot have run.
     if (exchange->isBodyWithheld() && end == StepResult::Broken)
         co_return Response::notRun(Reason::EndpointUnreachable);
-    co_return Response::unknown(end == StepResult::TimedOut ? Reason::DeadlineWhileRunning : Reason::ConnectionLost);
+    co_return Response::unknown(end == StepResult::TimedOut ? Reason::DeadlineWhileRunning : brokenReason(*exchange));
 }
 
 asio::awaitable<void> CallerPath::runAttempt(std::shared_ptr<Call> call, std::shared_ptr<Attempt> attempt)
--- a/snipeweir/relay/Connection.cpp
+++ b/snipeweir/relay/Connection.cpp
@@ -61,6 +61,14 @@
     return { asio::ip::make_address(address.ip, ignored), address.port };
 }
 
+MalformedResponseHook malformedResponseLogger(JsonLog& log)
+{
+    return [&log](const Address& from, const std::string& fault) {
+        log.logRequest(JsonLog::Priority::Abnormal, "malformed_response", CallId(),
+            { { "from", from.text() }, { "fault", fault } });
+    };
+}
+
 asio::awaitable<std::unique_ptr<Connection>> ConnectionPool::acquire(
     const Address& to, std::chrono::milliseconds maxIdle, SteadyTime deadline)
 {
--- a/snipeweir/relay/Connection.h
+++ b/snipeweir/relay/Connection.h
@@ -3,6 +3,7 @@
 #include "snipeweir/core/Clock.h"
 #include "snipeweir/core/Identity.h"
 #include "snipeweir/relay/Timer.h"
+#include "snipeweir/telemetry/JsonLog.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -10,9 +11,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace snipeweir {
 
@@ -70,6 +73,12 @@
     bool isReused = false;
 };
 
+/// Called when a peer has sent bytes that are not a valid response, with what makes them invalid.
+using MalformedResponseHook = std::function<void(const Address&, const std::string& fault)>;
+
+/// @return A hook that logs each malformed response.
+MalformedResponseHook malformedResponseLogger(JsonLog&);
+
 /// Pool of idle connections to other processes. For one thread.
 class ConnectionPool {
 public:
@@ -105,6 +114,9 @@
     const Settings& settings() const { return m_settings; }
     uint64_t opened() const { return m_opened; }
 
+    /// May be empty.
+    MalformedResponseHook onMalformedResponse;
+
 private:
     asio::any_io_executor m_executor;
     const Clock& m_clock;
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -103,6 +103,7 @@
     , m_backendsTimer(executor)
     , m_operatorTimer(executor)
 {
+    m_pool.onMalformedResponse = malformedResponseLogger(log);
     m_freshness.setSettings(node.keyRevocation);
     updateRank();
     std::chrono::milliseconds jitter(hashOf(node.peersAddress.ip) % maxStartJitterMs);
--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -1,13 +1,12 @@
 #include "snipeweir/relay/HttpExchange.h"
 
-#include "snipeweir/relay/TransferCoding.h"
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/container/small_vector.hpp>
 #include <charconv>
 #include <cmath>
 #include <utility>
@@ -38,6 +37,14 @@
     /// Maximum size of a body that is skipped.
     constexpr size_t maxSkippedBytes = 64U << 10U;
 
+    /// @return Whether an error says that the peer's bytes are not a valid response, and not that they are missing.
+    bool isSyntaxError(const error_code& error)
+    {
+        static const auto& category = make_error_code(http::error::bad_version).category();
+        return error.category() == category && error != http::error::end_of_stream
+            && error != http::error::partial_message;
+    }
+
     size_t reservedSize(size_t bytes) { return bytes > unreservedBytes ? bytes : 0; }
 
 }
@@ -59,6 +66,11 @@
     return isNumber && std::isfinite(value) && value >= 0 ? std::optional(value) : std::nullopt;
 }
 
+Reason brokenReason(const HttpExchange& exchange)
+{
+    return exchange.fault().empty() ? Reason::ConnectionLost : Reason::MalformedResponse;
+}
+
 bool isHopByHop(std::string_view name)
 {
     static constexpr std::array<std::string_view, 9> names { "Connection", "Keep-Alive", "Proxy-Connection",
@@ -77,9 +89,19 @@
 
 HttpExchange::~HttpExchange() { finish(StepResult::Broken); }
 
-HttpExchange::StepResult HttpExchange::endFromError(const error_code& error)
+HttpExchange::StepResult HttpExchange::finishMalformed(std::string fault)
 {
-    return error == beast::error::timeout ? StepResult::TimedOut : StepResult::Broken;
+    m_fault = std::move(fault);
+    if (m_pool.onMalformedResponse && m_connection)
+        m_pool.onMalformedResponse(m_connection->address, m_fault);
+    return finish(StepResult::Broken);
+}
+
+HttpExchange::StepResult HttpExchange::finishFailed(const error_code& error)
+{
+    if (isSyntaxError(error))
+        return finishMalformed(error.message());
+    return finish(error == beast::error::timeout ? StepResult::TimedOut : StepResult::Broken);
 }
 
 HttpExchange::StepResult HttpExchange::finish(StepResult end)
@@ -108,7 +130,7 @@
     m_isHeadRequest = head.compare(0, 5, "HEAD ") == 0;
     const error_code error = co_await writeRequest(head, body.get(), deadline);
     if (error)
-        co_return finish(endFromError(error));
+        co_return finishFailed(error);
     co_return StepResult::Complete;
 }
 
@@ -118,7 +140,7 @@
     m_isBodyWithheld = true;
     error_code error = co_await writeRequest(head, nullptr, deadline);
     if (error)
-        co_return finish(endFromError(error));
+        co_return finishFailed(error);
     for (int interimResponses = 0; interimResponses <= maxInterimResponses; ++interimResponses) {
         const StepResult end = co_await readAnyHead(deadline);
         if (end != StepResult::Complete)
@@ -130,7 +152,7 @@
             continue;
         m_isBodyWithheld = false;
         error = co_await writeRequest({}, body.get(), deadline);
-        co_return error ? finish(endFromError(error)) : StepResult::Complete;
+        co_return error ? finishFailed(error) : StepResult::Complete;
     }
     co_return finish(StepResult::Broken);
 }
@@ -225,11 +247,20 @@
         = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
     m_hasResponseBytes = m_hasResponseBytes || m_parser->got_some();
     if (error)
-        co_return finish(endFromError(error));
-    // The body of any other coding would be passed on undecoded, without the field that says so.
-    const TransferCoding coding = transferCoding(m_parser->get());
-    const bool isKnown = coding == TransferCoding::None || coding == TransferCoding::Chunked;
-    co_return isKnown ? StepResult::Complete : finish(StepResult::Broken);
+        co_return finishFailed(error);
+    const auto fault = findHeadFault();
+    co_return fault ? finishMalformed(std::string(responseFaultName(*fault))) : StepResult::Complete;
+}
+
+std::optional<ResponseFault> HttpExchange::findHeadFault() const
+{
+    boost::container::small_vector<ResponseField, 24> fields;
+    for (const auto& field : m_parser->get()) {
+        const auto name = field.name_string();
+        const auto value = field.value();
+        fields.push_back({ { name.data(), name.size() }, { value.data(), value.size() } });
+    }
+    return findResponseFault({ m_parser->get().version(), status(), { fields.data(), fields.size() } });
 }
 
 void HttpExchange::parseKeepAlive()
@@ -288,7 +319,7 @@
         room = std::min(room, std::max(minReadBytes, body.capacity() - body.size()));
     const error_code error = co_await readSome(body, room, deadline);
     if (error)
-        co_return finish(endFromError(error));
+        co_return finishFailed(error);
     co_return m_parser->is_done() ? finish(StepResult::Complete) : StepResult::More;
 }
 
@@ -301,7 +332,7 @@
         ignored.clear();
         const error_code error = co_await readSome(ignored, minReadBytes, deadline);
         if (error)
-            co_return endFromError(error);
+            co_return finishFailed(error);
     }
     co_return StepResult::Complete;
 }
--- a/snipeweir/relay/HttpExchange.h
+++ b/snipeweir/relay/HttpExchange.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "snipeweir/core/IgnoreCase.h"
+#include "snipeweir/core/ResponseSyntax.h"
 #include "snipeweir/relay/BodyMemory.h"
 #include "snipeweir/relay/Connection.h"
 #include "snipeweir/relay/RelayRequest.h"
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <string>
 #include <string_view>
 
 namespace snipeweir {
@@ -91,6 +93,9 @@
     /// @return Whether any byte of a response has arrived.
     bool hasResponseBytes() const { return m_hasResponseBytes; }
 
+    /// @return What makes the received bytes an invalid response; empty if none are.
+    const std::string& fault() const { return m_fault; }
+
     /// Called once when the exchange has ended, whether complete or failed.
     std::function<void(StepResult)> onEnd;
 
@@ -101,6 +106,11 @@
     asio::awaitable<error_code> writeRequest(const std::string& head, const RequestBody*, SteadyTime deadline);
     /// Reads the head of the next response, which may be an interim one.
     asio::awaitable<StepResult> readAnyHead(SteadyTime deadline);
+    std::optional<ResponseFault> findHeadFault() const;
+    /// Ends the exchange, whose peer sent an invalid response.
+    StepResult finishMalformed(std::string fault);
+    /// Ends the exchange after an error of the connection or the parser.
+    StepResult finishFailed(const error_code&);
     asio::awaitable<StepResult> readIgnored(SteadyTime deadline);
     /// @param room Maximum number of bytes to read.
     asio::awaitable<error_code> readSome(std::string& body, size_t room, SteadyTime deadline);
@@ -114,7 +124,6 @@
     bool holdMemory(size_t bodyCapacity);
     /// @return Approximate memory of the parsed head and its copy for the caller.
     size_t headMemory() const;
-    static StepResult endFromError(const error_code&);
     void parseKeepAlive();
 
     ConnectionPool& m_pool;
@@ -124,6 +133,7 @@
     /// Memory reserved for the head of the response; zero for a small one.
     size_t m_reservedHead = 0;
     std::optional<Parser> m_parser;
+    std::string m_fault;
     bool m_wasReused;
     bool m_hasResponseBytes = false;
     bool m_hasEnded = false;
@@ -134,6 +144,9 @@
     bool m_hasFinalHead = false;
 };
 
+/// @return Reason of an unknown outcome after an exchange that ended as Broken before it had a head.
+Reason brokenReason(const HttpExchange&);
+
 /// @return Whether a field applies to a single connection or message and must not be forwarded.
 bool isHopByHop(std::string_view name);
 
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -28,6 +28,12 @@
         head.append(name).append(": ").append(value).append("\r\n");
     }
 
+    /// @return Reason of an unknown outcome after a response that did not arrive whole.
+    Reason incompleteReason(const HttpExchange& exchange)
+    {
+        return exchange.fault().empty() ? Reason::ResponseTruncated : Reason::MalformedResponse;
+    }
+
 }
 
 ServerPath::ServerPath(const asio::any_io_executor& executor, const Clock& clock, Settings settings,
@@ -47,6 +53,7 @@
     , m_pool(executor, clock, ConnectionPool::Settings())
     , m_gateTimer(executor)
 {
+    m_pool.onMalformedResponse = malformedResponseLogger(log);
     // The server may have just started, so it is treated as cold until a health check says otherwise.
     m_gate.assumeCold();
 }
@@ -211,7 +218,7 @@
             { "queued_us",
                 std::to_string(
                     std::chrono::duration_cast<std::chrono::microseconds>(run->startedAt - arrivedAt).count()) },
-            { "slowness", std::to_string(slowness) }, { "instance", request.instance } });
+            { "slowness", std::to_string(slowness) }, { "instance", request.instance }, { "fault", run->fault } });
     co_return response;
 }
 
@@ -328,9 +335,11 @@
         else if (end == StepResult::TimedOut)
             response = Response::unknown(Reason::DeadlineWhileRunning);
         else if (end != StepResult::Complete)
-            response = Response::unknown(Reason::ConnectionLost);
+            response = Response::unknown(brokenReason(*exchange));
         else
             response = co_await readResponse(request, exchange, *run);
+        if (run->fault.empty())
+            run->fault = exchange->fault();
         cancellation.setHook({});
         co_return response;
     }
@@ -353,7 +362,8 @@
             || co_await exchange->skipBody(request.deadline) != StepResult::Complete
             || co_await exchange->readHead(request.deadline) != StepResult::Complete) {
             run.hasFailed = true;
-            co_return Response::unknown(Reason::ResponseTruncated);
+            run.fault = exchange->fault().empty() ? "other_request" : exchange->fault();
+            co_return Response::unknown(incompleteReason(*exchange));
         }
     }
     updateLoad(*exchange);
@@ -377,8 +387,13 @@
     }
     const bool isSuccess = status / 100 == 2;
     const bool claimsNotRun = status == 408 || status == 429 || status == 503;
-    if (claimsNotRun || exchange->hasField("Content-Encoding")
-        || (isSuccess && !exchange->hasField(m_names.signature))) {
+    if (claimsNotRun)
+        run.fault = "refusal_without_statement";
+    else if (exchange->hasField("Content-Encoding"))
+        run.fault = "content_coding";
+    else if (isSuccess && !exchange->hasField(m_names.signature))
+        run.fault = "no_signature";
+    if (!run.fault.empty()) {
         run.hasFailed = true;
         co_return Response::unknown(Reason::ResponseTruncated);
     }
@@ -396,7 +411,7 @@
         response.rest = exchange;
     else if (end != StepResult::Complete)
         co_return Response::unknown(
-            end == StepResult::TimedOut ? Reason::DeadlineWhileRunning : Reason::ResponseTruncated);
+            end == StepResult::TimedOut ? Reason::DeadlineWhileRunning : incompleteReason(*exchange));
     co_return response;
 }
 
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -112,6 +112,8 @@
         unsigned status = 0;
         /// Number of times that the request was sent again on a new connection.
         uint32_t resends = 0;
+        /// Why the server's response was refused; empty if it was not.
+        std::string fault;
     };
 
     asio::awaitable<ServerGate::Decision> admit(const ServerGate::Request&, Cancellation&);
--- a/snipeweir/retry/RetryPolicy.cpp
+++ b/snipeweir/retry/RetryPolicy.cpp
@@ -37,7 +37,8 @@
     /// @return Whether the attempt failed because its connection was lost or made no progress.
     bool isConnectionLoss(Reason reason)
     {
-        return reason == Reason::ConnectionLost || reason == Reason::NoProgress || reason == Reason::ResponseTruncated;
+        return reason == Reason::ConnectionLost || reason == Reason::NoProgress || reason == Reason::ResponseTruncated
+            || reason == Reason::MalformedResponse;
     }
 
     RetryReason retryReason(Reason reason)
--- /dev/null
+++ b/tests/relay/test_malformed_responses.py
@@ -0,0 +1,151 @@
+"""Tests with real node processes what callers get when a backend server, the store or another node sends a response that
+is not valid in HTTP/1.1 (RFC 9110, RFC 9112).
+
+Usage: test_malformed_responses.py PROGRAM [unittest arguments]"""
+
+import asyncio
+import os
+import sys
+import tempfile
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from fleet import Fleet  # noqa: E402
+
+PROGRAM = sys.argv.pop(1) if len(sys.argv) > 1 else "build/bin/snipeweir-platform"
+OWN = b"Request-Id: {id}\r\nServer-Seal: s\r\n"
+BODY = b"Content-Length: 5\r\n\r\nhello"
+
+def head(fields, status=b"200 OK", version=b"HTTP/1.1"):
+    """Returns a response to the request {id} with more fields; these end with the body."""
+    return version + b" " + status + b"\r\n" + OWN + fields
+
+def with_line(line):
+    return head(line + b"\r\n" + BODY)
+
+def chunked(chunks):
+    return head(b"Transfer-Encoding: chunked\r\n\r\n" + chunks)
+
+# Responses that no caller may get.
+MALFORMED = {
+    **{f"status {status}": head(BODY, status.encode()) for status in (
+        "000 X", "001 X", "099 X", "600 X", "999 X", "20 X", "2000 X", "2x0 X", "+20 X", "-20 X", " 200 X", "", "200\tX")},
+    **{f"status {status} of a refusal": head(b"Not-Executed: 1\r\n" + BODY, status.encode())
+       for status in ("000 X", "099 X", "600 X", "999 X")},
+    **{f"version {version}": head(BODY, version=version) for version in (
+        b"HTTP/0.9", b"HTTP/1.2", b"HTTP/1.9", b"HTTP/2.0", b"HTTP/2", b"HTTP/11", b"HTTP/1.10", b"http/1.1", b"HTTP /1.1",
+        b"ICY", b"HTTP", b" HTTP/1.1", b"\r\nHTTP/1.1")},
+    **{f"reason {reason}": head(BODY, b"200 " + reason) for reason in (b"a\0b", b"a\x01b", b"a\x7fb", b"a\rb", b"a\nb")},
+    **{f"name {name}": with_line(name + b": x") for name in (
+        b"", b"X ", b"X\t", b"X Y", b"X\tY", b"X\0", b"\x01X", b"X\x1f", b"X\x7f", b"X\x0b", b"X\r", b"X\n",
+        b"X(", b"X/Y", b"X,Y", b"X;Y", b"X=Y", b"X?", b"X@", b"[X]", b"{X}", b"X\\", b'"X"', b"X\x80", b"X\xe9", b"X\xfc",
+        b"X\xfd", b"X\xfe", b"X\xff")},
+    "a length whose name ends with a blank": head(b"Content-Length : 5\r\n\r\nhello"),
+    "a length whose name begins with a control byte": head(b"\x01Content-Length: 5\r\n\r\nhello"),
+    "a refusal whose name ends with a blank": head(b"Not-Executed : 1\r\n" + BODY, b"503 X"),
+    "an identifier whose name ends with a blank":
+        b"HTTP/1.1 200 OK\r\nRequest-Id : {id}\r\nServer-Seal: s\r\n" + BODY,
+    "a line without a colon": with_line(b"X"),
+    "a status line among the fields": with_line(b"HTTP/1.1 200 OK"),
+    "a first line that continues none": b"HTTP/1.1 200 OK\r\n X: y\r\n" + OWN + BODY,
+    "lines that end with LF": head(BODY).replace(b"\r\n", b"\n"),
+    "a line that ends with CR": head(b"X: y\rZ: y\r\n" + BODY),
+    "a head that ends with LF": head(b"Content-Length: 5\r\n\nhello"),
+    **{f"value {value}": with_line(b"X: a" + value + b"b") for value in (
+        b"\0", b"\x01", b"\x08", b"\x0b", b"\x1f", b"\x7f", b"\r", b"\n")},
+    **{f"length {length}": head(b"Content-Length: " + length + b"\r\n\r\nhello") for length in (
+        b"", b"-5", b"+5", b"5x", b"0x5", b"5.0", b"5 5", b"5;5", b"5,6", b"5,", b",", b"\x01", b"18446744073709551616",
+        b"99999999999999999999999", b"5\r\n 5")},
+    "two lengths": head(b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!"),
+    "a length and a coding": head(b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+    "a coding and a length": head(b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+    **{f"coding {coding}": head(b"Transfer-Encoding: " + coding + b"\r\n\r\n5\r\nhello\r\n0\r\n\r\n") for coding in (
+        b"", b"gzip", b"identity", b"chunked, identity", b"gzip, chunked", b"chunked, chunked", b"chunked;q=1", b"xchunked",
+        b"chunked x", b"chunked\r\nTransfer-Encoding: chunked", b"gzip\r\nTransfer-Encoding: chunked")},
+    **{f"chunk {chunk}": chunked(chunk + b"\r\n0\r\n\r\n") for chunk in (
+        b"\r\nhello", b"x\r\nhello", b"-5\r\nhello", b"+5\r\nhello", b" 5\r\nhello", b"0x5\r\nhello", b"5 5\r\nhello",
+        b"5x\r\nhello", b"5\nhello", b"5\rhello", b"5\r\nhello!", b"5\r\nhell", b"10000000000000005\r\nhello",
+        b"FFFFFFFFFFFFFFFFF\r\nhello", b"5;\x01\r\nhello", b"5;=\r\nhello", b"5\r\nhello\n")},
+    **{f"trailer {line}": chunked(b"5\r\nhello\r\n0\r\n" + line + b"\r\n\r\n") for line in (
+        b"X : y", b"X\x01: y", b": y", b"X", b"X: \0", b"X: \x7f", b" X: y", b"X: y\nZ: y", b"Content-Length: 5",
+        b"Transfer-Encoding: chunked")},
+    "a name of an interim response": b"HTTP/1.1 100 X\r\nX : y\r\n\r\n" + head(BODY),
+    "a value of an interim response": b"HTTP/1.1 100 X\r\nX: \0\r\n\r\n" + head(BODY),
+    "status 000 of an interim response": b"HTTP/1.1 000 X\r\n\r\n" + head(BODY),
+}
+HELLO = (200, b"hello")
+# Valid responses, and what callers get.
+VALID = {
+    **{f"status {status}": (head(BODY, f"{status} X".encode()), (status, b"hello"))
+       for status in (200, 299, 300, 399, 400, 499, 500, 599)},
+    **{f"interim response {status}": (f"HTTP/1.1 {status} X\r\nX: y\r\n\r\n".encode() + head(BODY), HELLO)
+       for status in (100, 102, 103, 199)},
+    "an interim response of length 0": (b"HTTP/1.1 103 X\r\nContent-Length: 0\r\n\r\n" + head(BODY), HELLO),
+    **{f"reason {reason}": (head(BODY, b"200 " + reason), HELLO) for reason in (b"", b" ", b"\t", b"\x80\xff", b"a: b")},
+    "version 1.0": (head(BODY, version=b"HTTP/1.0"), HELLO),
+    "all characters of names": (with_line(b"X!#$%&'*+-.^_`|~09az: y"), HELLO),
+    "all kinds of values": (with_line(b"X:\t \x80\xff a\tb \t"), HELLO),
+    "an empty value": (with_line(b"X:"), HELLO),
+    **{f"length {length}": (head(b"Content-Length: " + length + b"\r\n\r\nhello"), HELLO)
+       for length in (b" 5 ", b"05", b"5, 5", b"5\r\nContent-Length: 5")},
+    "length 0": (head(b"Content-Length: 0\r\n\r\n"), (200, b"")),
+    "a coding in capitals": (head(b"Transfer-Encoding: CHUNKED\r\n\r\n5\r\nhello\r\n0\r\n\r\n"), HELLO),
+    **{f"chunks {chunks}": (chunked(chunks), HELLO) for chunks in (
+        b"5\r\nhello\r\n0\r\n\r\n", b"0000000000000000005\r\nhello\r\n000\r\n\r\n", b"1;a\r\nh\r\n4;a=b;c=\"d;e\"\r\nello\r\n0;f\r\n\r\n",
+        b"5\r\nhello\r\n0\r\nX: y\r\nZ: z\r\n\r\n")},
+    "a response without content": (head(b"\r\n", b"204 No Content"), (204, b"")),
+    "a response without content of length 0": (head(b"Content-Length: 0\r\n\r\n", b"204 No Content"), (204, b"")),
+}
+
+class MalformedResponseTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        # All requests run at the first node: those sent there without a hop, those sent to the second with one.
+        self.fleet = Fleet(PROGRAM, self.folder.name, ["one", "two"])
+        await self.fleet.start()
+        self.server = self.fleet.nodes[0]
+        self.backend = self.server.backend
+        self.backend.service_time = 0
+        self.response = None
+
+        async def finish_run(reader, writer, fields, request_id):
+            if self.response is not None:
+                writer.write(self.response.replace(b"{id}", request_id.encode()))
+                raise ConnectionError
+            await finish_valid_run(reader, writer, fields, request_id)
+
+        finish_valid_run, self.backend.finish_run = self.backend.finish_run, finish_run
+
+    async def asyncTearDown(self):
+        await self.fleet.stop()
+        self.folder.cleanup()
+
+    async def send(self, node, response, method="POST", path="/u/x"):
+        """Lets the backend server send the bytes. Returns what the caller gets, and how often the request ran."""
+        self.response = response
+        request_id = self.fleet.new_id()
+        received = await self.fleet.send(node, method, path, request_id=request_id, reads_chunks=True)
+        self.response = None
+        return received, self.backend.started.count(request_id)
+
+    async def test_a_malformed_response_reaches_the_caller_as_an_answer(self):
+        for name, response in MALFORMED.items():
+            for node in self.fleet.nodes:
+                with self.subTest(name, hop=node is not self.server):
+                    received, runs = await self.send(node, response)
+                    self.assertIsNotNone(received)
+                    # It may have run.
+                    self.assertEqual((received.status, received.body, runs), (502, b"", 1))
+                    received, _ = await self.send(node, None)
+                    self.assertEqual(received.status, 200)
+
+    async def test_a_valid_response_is_refused_or_changed(self):
+        for name, (response, expected) in VALID.items():
+            for node in self.fleet.nodes:
+                with self.subTest(name, hop=node is not self.server):
+                    received, _ = await self.send(node, response)
+                    self.assertIsNotNone(received)
+                    self.assertEqual((received.status, received.body, received.is_complete), (*expected, True))
+
+if __name__ == "__main__":
+    unittest.main()
