Refuse responses in HTTP/1.0 with a Transfer-Encoding

Callers got the body of a response that claimed HTTP/1.0 and had the field Transfer-Encoding: chunked.

Cause: Boost.Beast decodes the coding in any version. RFC 9112, section 6.1, has such a framing treated as faulty: a party on the way that knows only HTTP/1.0 does not remove the coding, so its chunks may be of another message.

Change: findResponseFault() refuses a transfer coding unless the version is HTTP/1.1.

Evidence: the new case of test_malformed_responses.py failed with and without a hop before this change and passes now, one run each.

--- a/snipeweir/core/ResponseSyntax.cpp
+++ b/snipeweir/core/ResponseSyntax.cpp
@@ -76,7 +76,7 @@
                 isCoded = true;
             }
         }
-        if (isCoded && length)
+        if (isCoded && (length || head.version != http11))
             return ResponseFault::TransferCoding;
         return std::nullopt;
     }
--- a/snipeweir/core/ResponseSyntax.h
+++ b/snipeweir/core/ResponseSyntax.h
@@ -16,7 +16,7 @@
     FieldName,
     FieldValue,
     ContentLength,
-    /// A transfer coding other than chunked alone, or one beside a length.
+    /// A transfer coding other than chunked alone, or one beside a length or in HTTP/1.0.
     TransferCoding,
 };
 
--- a/tests/relay/test_malformed_responses.py
+++ b/tests/relay/test_malformed_responses.py
@@ -62,6 +62,7 @@
     **{f"coding {coding}": head(b"Transfer-Encoding: " + coding + b"\r\n\r\n5\r\nhello\r\n0\r\n\r\n") for coding in (
         b"", b"gzip", b"identity", b"chunked, identity", b"gzip, chunked", b"chunked, chunked", b"chunked;q=1", b"xchunked",
         b"chunked x", b"chunked\r\nTransfer-Encoding: chunked", b"gzip\r\nTransfer-Encoding: chunked")},
+    "a coding in HTTP/1.0": head(b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", version=b"HTTP/1.0"),
     **{f"chunk {chunk}": chunked(chunk + b"\r\n0\r\n\r\n") for chunk in (
         b"\r\nhello", b"x\r\nhello", b"-5\r\nhello", b"+5\r\nhello", b" 5\r\nhello", b"0x5\r\nhello", b"5 5\r\nhello",
         b"5x\r\nhello", b"5\nhello", b"5\rhello", b"5\r\nhello!", b"5\r\nhell", b"10000000000000005\r\nhello",
