Refuse responses with continued header lines

Callers got responses in which the name of a field began with a blank or a tab, with that line passed on as a part of the field before it: after "Server-Seal: s", the line " X: x" made the signature "s X: x".

Cause: a line that begins with a blank continues the one before it (obs-fold). Boost.Beast joins the two and doesn't say so. RFC 9112, section 5.2, lets a gateway join or refuse; joined, a line that the server meant as a field of its own changes another field, and readers that don't join see other fields.

Change: HttpExchange feeds the parser itself, as http::async_read_header() does, and looks at the parsed bytes with hasContinuedLine(). Such a head is refused like any other malformed one.

The names with a blank or a control byte elsewhere (29 names, with both paths) were refused before: Boost.Beast knows them; their tests are kept.

--- a/snipeweir/core/ResponseSyntax.cpp
+++ b/snipeweir/core/ResponseSyntax.cpp
@@ -90,6 +90,8 @@
         return "version";
     case ResponseFault::Status:
         return "status";
+    case ResponseFault::ContinuedLine:
+        return "continued_line";
     case ResponseFault::FieldName:
         return "field_name";
     case ResponseFault::FieldValue:
@@ -122,4 +124,9 @@
     return isText(field.value) ? std::nullopt : std::optional(ResponseFault::FieldValue);
 }
 
+bool hasContinuedLine(std::string_view lines)
+{
+    return lines.find("\n ") != std::string_view::npos || lines.find("\n\t") != std::string_view::npos;
+}
+
 }
--- a/snipeweir/core/ResponseSyntax.h
+++ b/snipeweir/core/ResponseSyntax.h
@@ -13,6 +13,8 @@
     Version,
     /// Outside 100 to 599.
     Status,
+    /// A line that continues the one before it (obs-fold); the parties would disagree about which field it belongs to.
+    ContinuedLine,
     FieldName,
     FieldValue,
     ContentLength,
@@ -45,4 +47,8 @@
 /// @return The fault of a field of the head or the trailer, on its own; empty if it has none.
 std::optional<ResponseFault> findFieldFault(const ResponseField&);
 
+/// @param lines Whole lines, for example of a head.
+/// @return Whether a line continues the one before it.
+bool hasContinuedLine(std::string_view lines);
+
 }
--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/container/small_vector.hpp>
@@ -243,8 +244,7 @@
     m_parser->header_limit(maxHeadBytes);
     m_parser->body_limit(boost::none);
     m_parser->skip(m_isHeadRequest);
-    const auto [error, count]
-        = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
+    const error_code error = co_await parseHead();
     m_hasResponseBytes = m_hasResponseBytes || m_parser->got_some();
     if (error)
         co_return finishFailed(error);
@@ -252,8 +252,35 @@
     co_return fault ? finishMalformed(std::string(responseFaultName(*fault))) : StepResult::Complete;
 }
 
+asio::awaitable<error_code> HttpExchange::parseHead()
+{
+    beast::flat_buffer& buffer = m_connection->buffer;
+    m_hasContinuedLine = false;
+    while (!m_isCancelled) {
+        if (buffer.size() > 0) {
+            error_code error;
+            const size_t count = m_parser->put(buffer.data(), error);
+            const std::string_view parsed(static_cast<const char*>(buffer.data().data()), count);
+            m_hasContinuedLine = m_hasContinuedLine || hasContinuedLine(parsed);
+            buffer.consume(count);
+            if (error != http::error::need_more)
+                co_return error;
+        }
+        const size_t room = beast::read_size(buffer, readChunkBytes);
+        if (room == 0)
+            co_return http::error::buffer_overflow;
+        const auto [error, count] = co_await m_connection->stream.async_read_some(buffer.prepare(room), asTuple);
+        if (error)
+            co_return error;
+        buffer.commit(count);
+    }
+    co_return asio::error::operation_aborted;
+}
+
 std::optional<ResponseFault> HttpExchange::findHeadFault() const
 {
+    if (m_hasContinuedLine)
+        return ResponseFault::ContinuedLine;
     boost::container::small_vector<ResponseField, 24> fields;
     for (const auto& field : m_parser->get()) {
         const auto name = field.name_string();
--- a/snipeweir/relay/HttpExchange.h
+++ b/snipeweir/relay/HttpExchange.h
@@ -106,6 +106,8 @@
     asio::awaitable<error_code> writeRequest(const std::string& head, const RequestBody*, SteadyTime deadline);
     /// Reads the head of the next response, which may be an interim one.
     asio::awaitable<StepResult> readAnyHead(SteadyTime deadline);
+    /// Reads and parses bytes until the parser has a whole head.
+    asio::awaitable<error_code> parseHead();
     std::optional<ResponseFault> findHeadFault() const;
     /// Ends the exchange, whose peer sent an invalid response.
     StepResult finishMalformed(std::string fault);
@@ -133,6 +135,8 @@
     /// Memory reserved for the head of the response; zero for a small one.
     size_t m_reservedHead = 0;
     std::optional<Parser> m_parser;
+    /// Whether a line of the head that was read last continues the one before it, which the parser hides.
+    bool m_hasContinuedLine = false;
     std::string m_fault;
     bool m_wasReused;
     bool m_hasResponseBytes = false;
--- a/tests/relay/test_malformed_responses.py
+++ b/tests/relay/test_malformed_responses.py
@@ -37,7 +37,7 @@
         b"ICY", b"HTTP", b" HTTP/1.1", b"\r\nHTTP/1.1")},
     **{f"reason {reason}": head(BODY, b"200 " + reason) for reason in (b"a\0b", b"a\x01b", b"a\x7fb", b"a\rb", b"a\nb")},
     **{f"name {name}": with_line(name + b": x") for name in (
-        b"", b"X ", b"X\t", b"X Y", b"X\tY", b"X\0", b"\x01X", b"X\x1f", b"X\x7f", b"X\x0b", b"X\r", b"X\n",
+        b"", b" ", b"X ", b"X\t", b" X", b"\tX", b"X Y", b"X\tY", b"X\0", b"\x01X", b"X\x1f", b"X\x7f", b"X\x0b", b"X\r", b"X\n",
         b"X(", b"X/Y", b"X,Y", b"X;Y", b"X=Y", b"X?", b"X@", b"[X]", b"{X}", b"X\\", b'"X"', b"X\x80", b"X\xe9", b"X\xfc",
         b"X\xfd", b"X\xfe", b"X\xff")},
     "a length whose name ends with a blank": head(b"Content-Length : 5\r\n\r\nhello"),
@@ -51,6 +51,8 @@
     "lines that end with LF": head(BODY).replace(b"\r\n", b"\n"),
     "a line that ends with CR": head(b"X: y\rZ: y\r\n" + BODY),
     "a head that ends with LF": head(b"Content-Length: 5\r\n\nhello"),
+    **{f"continued line {line}": with_line(line) for line in (b"X: a\r\n b", b"X: a\r\n\tb", b"X:\r\n a", b"X: a\r\n ")},
+    "a refusal in a line that continues one": head(b" Not-Executed: 1\r\n" + BODY, b"503 X"),
     **{f"value {value}": with_line(b"X: a" + value + b"b") for value in (
         b"\0", b"\x01", b"\x08", b"\x0b", b"\x1f", b"\x7f", b"\r", b"\n")},
     **{f"length {length}": head(b"Content-Length: " + length + b"\r\n\r\nhello") for length in (
