Refuse responses that have content with a status that has none

Callers got a 204 whose head announced a body that was not passed on, and its bytes stood where the next response begins.

Cause: Boost.Beast ends a 204 and an interim response with their heads, whatever these say (RFC 9112, section 6.3, rule 1). A server must not send them with a Transfer-Encoding or a length (RFC 9110, section 8.6; RFC 9112, section 6.1). Either the status is wrong or the length is, and which cannot be known.

Change: findResponseFault() refuses a 204 or 1xx with a transfer coding or a length other than 0. Length 0 is harmless, common, and still accepted.

--- a/snipeweir/core/ResponseSyntax.cpp
+++ b/snipeweir/core/ResponseSyntax.cpp
@@ -11,6 +11,7 @@
 
     constexpr unsigned http10 = 10;
     constexpr unsigned http11 = 11;
+    constexpr unsigned noContent = 204;
 
     bool isAlphanumeric(char c) { return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z'); }
 
@@ -78,6 +79,9 @@
         }
         if (isCoded && (length || head.version != http11))
             return ResponseFault::TransferCoding;
+        const bool hasNoContent = head.status / 100 == 1 || head.status == noContent;
+        if (hasNoContent && (isCoded || length.value_or(0) > 0))
+            return ResponseFault::UnexpectedContent;
         return std::nullopt;
     }
 
@@ -100,6 +104,8 @@
         return "content_length";
     case ResponseFault::TransferCoding:
         return "transfer_coding";
+    case ResponseFault::UnexpectedContent:
+        return "unexpected_content";
     }
     return "";
 }
--- a/snipeweir/core/ResponseSyntax.h
+++ b/snipeweir/core/ResponseSyntax.h
@@ -20,6 +20,8 @@
     ContentLength,
     /// A transfer coding other than chunked alone, or one beside a length or in HTTP/1.0.
     TransferCoding,
+    /// A length or a transfer coding with a status that has no content (1xx, 204).
+    UnexpectedContent,
 };
 
 /// @return Stable snake_case name, as in logs.
--- a/tests/relay/test_malformed_responses.py
+++ b/tests/relay/test_malformed_responses.py
@@ -72,6 +72,11 @@
     **{f"trailer {line}": chunked(b"5\r\nhello\r\n0\r\n" + line + b"\r\n\r\n") for line in (
         b"X : y", b"X\x01: y", b": y", b"X", b"X: \0", b"X: \x7f", b" X: y", b"X: y\nZ: y", b"Content-Length: 5",
         b"Transfer-Encoding: chunked")},
+    "content in a response without content": head(BODY, b"204 No Content"),
+    "a coding in a response without content":
+        head(b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", b"204 No Content"),
+    "content in an interim response": b"HTTP/1.1 103 X\r\nContent-Length: 5\r\n\r\nhello" + head(BODY),
+    "a coding in an interim response": b"HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + head(BODY),
     "a name of an interim response": b"HTTP/1.1 100 X\r\nX : y\r\n\r\n" + head(BODY),
     "a value of an interim response": b"HTTP/1.1 100 X\r\nX: \0\r\n\r\n" + head(BODY),
     "status 000 of an interim response": b"HTTP/1.1 000 X\r\n\r\n" + head(BODY),
