Refuse responses with status 101

Callers got the response that followed a 101 of their backend server.

Cause: HttpExchange took 101 for one of the interim responses that it skips. After a 101 the connection carries another protocol (RFC 9110, section 15.2.2), so the bytes behind it are no HTTP. No request asks for an upgrade, since Upgrade is not forwarded.

Change: findResponseFault() refuses status 101.

Evidence: the new case of test_malformed_responses.py failed with a hop and without on the commit before and passes now, one run each.

--- a/snipeweir/core/ResponseSyntax.cpp
+++ b/snipeweir/core/ResponseSyntax.cpp
@@ -11,6 +11,7 @@
 
     constexpr unsigned http10 = 10;
     constexpr unsigned http11 = 11;
+    constexpr unsigned switchingProtocols = 101;
     constexpr unsigned noContent = 204;
 
     bool isAlphanumeric(char c) { return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z'); }
@@ -94,6 +95,8 @@
         return "version";
     case ResponseFault::Status:
         return "status";
+    case ResponseFault::UnrequestedUpgrade:
+        return "unrequested_upgrade";
     case ResponseFault::ContinuedLine:
         return "continued_line";
     case ResponseFault::FieldName:
@@ -116,6 +119,8 @@
         return ResponseFault::Version;
     if (head.status < 100 || head.status > 599)
         return ResponseFault::Status;
+    if (head.status == switchingProtocols)
+        return ResponseFault::UnrequestedUpgrade;
     for (const ResponseField& field : head.fields) {
         if (const auto fault = findFieldFault(field))
             return fault;
--- a/snipeweir/core/ResponseSyntax.h
+++ b/snipeweir/core/ResponseSyntax.h
@@ -13,6 +13,8 @@
     Version,
     /// Outside 100 to 599.
     Status,
+    /// Status 101, which no request asks for.
+    UnrequestedUpgrade,
     /// A line that continues the one before it (obs-fold); the parties would disagree about which field it belongs to.
     ContinuedLine,
     FieldName,
--- a/tests/relay/test_malformed_responses.py
+++ b/tests/relay/test_malformed_responses.py
@@ -72,6 +72,8 @@
     **{f"trailer {line}": chunked(b"5\r\nhello\r\n0\r\n" + line + b"\r\n\r\n") for line in (
         b"X : y", b"X\x01: y", b": y", b"X", b"X: \0", b"X: \x7f", b" X: y", b"X: y\nZ: y", b"Content-Length: 5",
         b"Transfer-Encoding: chunked")},
+    "an upgrade that was not asked for":
+        head(b"Upgrade: x\r\nConnection: upgrade\r\n\r\n", b"101 Switching Protocols") + head(BODY),
     "content in a response without content": head(BODY, b"204 No Content"),
     "a coding in a response without content":
         head(b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", b"204 No Content"),
