Refuse responses that give a field twice that may stand once

Callers got responses with two identifiers, two signatures or two types, of which each reader takes the one that it likes.

Cause: HttpExchange::field() returns the first value and all values were passed on. A response that bears two identifiers may be another request's.

Change: findResponseFault() refuses a head that gives different values for a field that says what the response is: the identifier, signature and instance of the backend server, those of HTTP for the content and its place, and the product's own. Equal copies are still accepted: they do harm to nobody.

--- a/snipeweir/core/ResponseSyntax.cpp
+++ b/snipeweir/core/ResponseSyntax.cpp
@@ -3,6 +3,8 @@
 #include "snipeweir/core/IgnoreCase.h"
 
 #include <algorithm>
+#include <array>
+#include <boost/container/small_vector.hpp>
 #include <charconv>
 
 namespace snipeweir {
@@ -14,6 +16,12 @@
     constexpr unsigned switchingProtocols = 101;
     constexpr unsigned noContent = 204;
 
+    /// Fields of which two different values would let two readers take one response for different ones.
+    constexpr std::array<std::string_view, 15> singleFields { "Content-Type", "Content-Range", "Content-Location",
+        "ETag", "Last-Modified", "Location", "Retry-After", "Snipeweir-Call-Id", "Snipeweir-Outcome",
+        "Snipeweir-Reason", "Snipeweir-Run", "Snipeweir-Retry", "Snipeweir-Not-Run", "Snipeweir-Instance",
+        "Snipeweir-Revision" };
+
     bool isAlphanumeric(char c) { return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z'); }
 
     bool isTokenCharacter(char c)
@@ -86,6 +94,30 @@
         return std::nullopt;
     }
 
+    bool hasRepeatedField(const ResponseHeadView& head)
+    {
+        boost::container::small_vector<const ResponseField*, 24> first(
+            singleFields.size() + head.singleFields.size(), nullptr);
+        const auto conflicts = [&](const ResponseField& field, size_t index, std::string_view name) {
+            if (!equalsIgnoringCase(field.name, name))
+                return false;
+            if (!first[index])
+                first[index] = &field;
+            return first[index]->value != field.value;
+        };
+        for (const ResponseField& field : head.fields) {
+            for (size_t i = 0; i < singleFields.size(); ++i) {
+                if (conflicts(field, i, singleFields[i]))
+                    return true;
+            }
+            for (size_t i = 0; i < head.singleFields.size(); ++i) {
+                if (conflicts(field, singleFields.size() + i, head.singleFields[i]))
+                    return true;
+            }
+        }
+        return false;
+    }
+
 }
 
 std::string_view responseFaultName(ResponseFault fault)
@@ -103,6 +135,8 @@
         return "field_name";
     case ResponseFault::FieldValue:
         return "field_value";
+    case ResponseFault::RepeatedField:
+        return "repeated_field";
     case ResponseFault::ContentLength:
         return "content_length";
     case ResponseFault::TransferCoding:
@@ -125,7 +159,9 @@
         if (const auto fault = findFieldFault(field))
             return fault;
     }
-    return findFramingFault(head);
+    if (const auto fault = findFramingFault(head))
+        return fault;
+    return hasRepeatedField(head) ? std::optional(ResponseFault::RepeatedField) : std::nullopt;
 }
 
 std::optional<ResponseFault> findFieldFault(const ResponseField& field)
--- a/snipeweir/core/ResponseSyntax.h
+++ b/snipeweir/core/ResponseSyntax.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace snipeweir {
@@ -19,6 +20,8 @@
     ContinuedLine,
     FieldName,
     FieldValue,
+    /// A field that may stand once stands twice, with different values.
+    RepeatedField,
     ContentLength,
     /// A transfer coding other than chunked alone, or one beside a length or in HTTP/1.0.
     TransferCoding,
@@ -41,6 +44,8 @@
     unsigned version = 0;
     unsigned status = 0;
     std::span<const ResponseField> fields;
+    /// Names of fields that may stand once, in addition to those of HTTP.
+    std::span<const std::string> singleFields;
 };
 
 /// Decides what is a valid response. Every reader of responses asks this function before it acts on a head, whether
--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -80,10 +80,12 @@
         names.begin(), names.end(), [&](std::string_view hopByHop) { return equalsIgnoringCase(name, hopByHop); });
 }
 
-HttpExchange::HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection, BodyMemory* memory)
+HttpExchange::HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection, BodyMemory* memory,
+    std::span<const std::string> singleFields)
     : m_pool(pool)
     , m_connection(std::move(connection))
     , m_memory(memory ? std::make_shared<BodyMemory::Reservation>(*memory, BodyMemory::Use::Response) : nullptr)
+    , m_singleFields(singleFields)
     , m_wasReused(m_connection->isReused)
 {
 }
@@ -287,7 +289,7 @@
         const auto value = field.value();
         fields.push_back({ { name.data(), name.size() }, { value.data(), value.size() } });
     }
-    return findResponseFault({ m_parser->get().version(), status(), { fields.data(), fields.size() } });
+    return findResponseFault({ m_parser->get().version(), status(), { fields.data(), fields.size() }, m_singleFields });
 }
 
 void HttpExchange::parseKeepAlive()
--- a/snipeweir/relay/HttpExchange.h
+++ b/snipeweir/relay/HttpExchange.h
@@ -8,6 +8,7 @@
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -29,7 +30,9 @@
     /// @param connection Connection from the pool; not null.
     /// @param memory Limits what the exchange buffers of the response, beyond a small size; null if the reader of the
     /// response limits it.
-    HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection, BodyMemory* memory = nullptr);
+    /// @param singleFields Names of further fields that may stand once in a response; must outlive the exchange.
+    HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection, BodyMemory* memory = nullptr,
+        std::span<const std::string> singleFields = {});
     ~HttpExchange();
     HttpExchange(const HttpExchange&) = delete;
     HttpExchange& operator=(const HttpExchange&) = delete;
@@ -135,6 +138,7 @@
     /// Memory reserved for the head of the response; zero for a small one.
     size_t m_reservedHead = 0;
     std::optional<Parser> m_parser;
+    std::span<const std::string> m_singleFields;
     /// Whether a line of the head that was read last continues the one before it, which the parser hides.
     bool m_hasContinuedLine = false;
     std::string m_fault;
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -44,6 +44,7 @@
     , m_settings(settings)
     , m_node(node)
     , m_names(names)
+    , m_singleFields { names.callId, names.signature, names.instance }
     , m_view(view)
     , m_bodyMemory(bodyMemory)
     , m_log(log)
@@ -257,7 +258,7 @@
     auto connection = co_await m_pool.acquire(m_node.backendAddress, maxIdle, request.deadline);
     if (!connection)
         co_return nullptr;
-    co_return std::make_shared<HttpExchange>(m_pool, std::move(connection), &m_bodyMemory);
+    co_return std::make_shared<HttpExchange>(m_pool, std::move(connection), &m_bodyMemory, m_singleFields);
 }
 
 asio::awaitable<Response> ServerPath::exchange(
@@ -532,7 +533,7 @@
         markServerUnreachable();
         co_return false;
     }
-    HttpExchange exchange(m_pool, std::move(connection));
+    HttpExchange exchange(m_pool, std::move(connection), nullptr, m_singleFields);
     ++m_counters.healthChecks;
     const BackendIncarnation registered = registeredIncarnation();
     const SteadyTime sentAt = m_clock.now();
--- a/snipeweir/relay/ServerPath.h
+++ b/snipeweir/relay/ServerPath.h
@@ -155,6 +155,8 @@
     Settings m_settings;
     const RelaySettings& m_node;
     const WireNames& m_names;
+    /// Fields of the backend server that may stand once in a response.
+    std::vector<std::string> m_singleFields;
     const FleetView& m_view;
     BodyMemory& m_bodyMemory;
     JsonLog& m_log;
--- a/tests/relay/test_malformed_responses.py
+++ b/tests/relay/test_malformed_responses.py
@@ -82,6 +82,9 @@
     "a name of an interim response": b"HTTP/1.1 100 X\r\nX : y\r\n\r\n" + head(BODY),
     "a value of an interim response": b"HTTP/1.1 100 X\r\nX: \0\r\n\r\n" + head(BODY),
     "status 000 of an interim response": b"HTTP/1.1 000 X\r\n\r\n" + head(BODY),
+    "two identifiers": head(b"Request-Id: other\r\n" + BODY),
+    "two signatures": head(b"Server-Seal: other\r\n" + BODY),
+    "two types": head(b"Content-Type: text/plain\r\nContent-Type: text/html\r\n" + BODY),
 }
 HELLO = (200, b"hello")
 # Valid responses, and what callers get.
@@ -105,6 +108,7 @@
         b"5\r\nhello\r\n0\r\nX: y\r\nZ: z\r\n\r\n")},
     "a response without content": (head(b"\r\n", b"204 No Content"), (204, b"")),
     "a response without content of length 0": (head(b"Content-Length: 0\r\n\r\n", b"204 No Content"), (204, b"")),
+    "a type sent twice": (head(b"Content-Type: text/plain\r\nContent-Type: text/plain\r\n" + BODY), HELLO),
 }
 
 class MalformedResponseTest(unittest.IsolatedAsyncioTestCase):
