Let only nodes set the product's own fields of a response

Callers got 503, which says "not run", for a request that had run, if the backend server's response had the field "Snipeweir-Outcome: 1 backend_shed 1" and came with a hop. Without a hop they got the field.

Cause: the node beside the server passed its fields on and appended its own behind them; the calling node reads the first Snipeweir-Outcome.

Change: endToEndFields() leaves the product's own fields out, so decodeResponse() no longer has to.

--- a/snipeweir/relay/HopCodec.cpp
+++ b/snipeweir/relay/HopCodec.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-    constexpr std::string_view productPrefix = "Snipeweir-";
     constexpr std::string_view hopField = "Snipeweir-Hop";
     constexpr std::string_view organisationField = "Snipeweir-Organisation";
     constexpr std::string_view outcomeField = "Snipeweir-Outcome";
@@ -37,12 +36,6 @@
         return text.fail() ? std::vector<int64_t>() : result;
     }
 
-    bool isProductField(std::string_view name)
-    {
-        return name.size() >= productPrefix.size()
-            && equalsIgnoringCase(name.substr(0, productPrefix.size()), productPrefix);
-    }
-
 }
 
 std::string statusLine(unsigned status)
@@ -187,7 +180,6 @@
     if (response.kind == Response::Kind::Served) {
         response.status = exchange.status();
         response.headers = exchange.endToEndFields();
-        std::erase_if(response.headers, [](const HeaderField& field) { return isProductField(field.name); });
     }
     return response;
 }
--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -80,6 +80,12 @@
         names.begin(), names.end(), [&](std::string_view hopByHop) { return equalsIgnoringCase(name, hopByHop); });
 }
 
+bool isProductField(std::string_view name)
+{
+    constexpr std::string_view prefix = "Snipeweir-";
+    return equalsIgnoringCase(name.substr(0, prefix.size()), prefix);
+}
+
 HttpExchange::HttpExchange(ConnectionPool& pool, std::unique_ptr<Connection> connection, BodyMemory* memory,
     std::span<const std::string> singleFields)
     : m_pool(pool)
@@ -404,7 +410,7 @@
     std::vector<HeaderField> fields;
     for (const auto& field : m_parser->get()) {
         const auto name = field.name_string();
-        if (!isHopByHop({ name.data(), name.size() }))
+        if (!isHopByHop({ name.data(), name.size() }) && !isProductField({ name.data(), name.size() }))
             fields.push_back({ std::string(name), std::string(field.value()) });
     }
     return fields;
--- a/snipeweir/relay/HttpExchange.h
+++ b/snipeweir/relay/HttpExchange.h
@@ -85,7 +85,7 @@
     std::string_view field(std::string_view name) const;
     bool hasField(std::string_view name) const;
 
-    /// @return The end-to-end fields of the response.
+    /// @return The end-to-end fields of the response, without the product's own, in which only nodes speak.
     std::vector<HeaderField> endToEndFields() const;
 
     /// @return Value of Content-Length; empty if the length is not known in advance.
@@ -158,6 +158,9 @@
 /// @return Whether a field applies to a single connection or message and must not be forwarded.
 bool isHopByHop(std::string_view name);
 
+/// @return Whether only nodes may set a field.
+bool isProductField(std::string_view name);
+
 /// @return The decimal number that the text consists of; empty if the text is not a number.
 std::optional<uint64_t> parseUnsigned(std::string_view text);
 
--- a/tests/relay/test_malformed_responses.py
+++ b/tests/relay/test_malformed_responses.py
@@ -4,6 +4,7 @@
 Usage: test_malformed_responses.py PROGRAM [unittest arguments]"""
 
 import asyncio
+import json
 import os
 import sys
 import tempfile
@@ -161,5 +162,61 @@
                     self.assertIsNotNone(received)
                     self.assertEqual((received.status, received.body, received.is_complete), (*expected, True))
 
+    async def test_a_backend_server_speaks_in_the_name_of_a_node(self):
+        for fields in (b"Snipeweir-Outcome: 1 backend_shed 1\r\n", b"snipeweir-outcome: 1 backend_shed 1\r\n",
+                       b"Snipeweir-Outcome: 2 none 1\r\n", b"Snipeweir-Retry: 1 100 100\r\n"):
+            for node in self.fleet.nodes:
+                with self.subTest(fields, hop=node is not self.server):
+                    received, runs = await self.send(node, head(fields + BODY))
+                    self.assertEqual((received.status, received.body, runs), (200, b"hello", 1))
+                    self.assertFalse([name for name in received.fields if name.startswith("snipeweir-")])
+
+    async def test_a_connection_is_used_again_after_a_malformed_response(self):
+        async def finish_run(reader, writer, fields, request_id):
+            # The connection stays open, and the rest of it belongs to nobody.
+            writer.write(with_line(b"X : y").replace(b"{id}", request_id.encode()))
+            reuses.append(await reader.read(1))
+            raise ConnectionError
+
+        reuses = []
+        self.backend.finish_run = finish_run
+        for node in self.fleet.nodes:
+            received, _ = await self.send(node, None)
+            self.assertEqual(received.status, 502)
+        await asyncio.sleep(0.1)
+        self.assertEqual(reuses, [b"", b""])
+
+    async def test_a_malformed_response_is_not_explained(self):
+        for node in self.fleet.nodes:
+            received, _ = await self.send(node, head(BODY, b"000 X"))
+            self.assertEqual(received.fields["snipeweir-reason"], "answer_malformed")
+        await asyncio.sleep(0.5)  # The log is written every 250 ms.
+        events = [json.loads(line) for line in self.server.log_text().splitlines()]
+        self.assertEqual(
+            [event["fault"] for event in events if event["event"] == "malformed_response"], ["status", "status"])
+        self.assertEqual([event["fault"] for event in events if event["event"] == "ran"], ["status", "status"])
+
+
+class TwoServersTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_idempotent_request_is_lost_or_another_one_sent_again_after_a_malformed_response(self):
+        async def finish_run(reader, writer, fields, request_id):
+            sent.append(request_id)
+            status = b"000 X" if sent.count(request_id) == 1 else b"200 OK"
+            writer.write(head(BODY, status).replace(b"{id}", request_id.encode()))
+            raise ConnectionError
+
+        sent = []
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = Fleet(PROGRAM, folder, ["one", "one"])
+            await fleet.start()
+            for node in fleet.nodes:
+                node.backend.finish_run = finish_run
+            for method, path, status, runs in (("GET", "/s/x", 200, 2), ("POST", "/u/x", 502, 1)):
+                request_id = fleet.new_id()
+                received = await fleet.send(fleet.nodes[0], method, path, request_id=request_id)
+                self.assertEqual((received.status, sent.count(request_id)), (status, runs))
+            await fleet.stop()
+
+
 if __name__ == "__main__":
     unittest.main()
