Keep fields for one connection out of the answer

Callers got fields that their backend server had named in Connection, for example X-Hop with "Connection: close, X-Hop".

Cause: endToEndFields() left out the fixed names alone; RFC 9110, section 7.6.1, has a gateway remove those that the message lists, too. For requests forwardedFields() does so.

Change: endToEndFields() leaves out what any Connection field lists, except the fields that say whose response it is, which a server must not list there.

--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <boost/container/small_vector.hpp>
 #include <charconv>
 #include <cmath>
@@ -405,12 +406,23 @@
 
 bool HttpExchange::hasField(std::string_view name) const { return m_parser->get().find(name) != m_parser->get().end(); }
 
+bool HttpExchange::isForThisConnection(std::string_view name) const
+{
+    const auto [first, last] = m_parser->get().equal_range(http::field::connection);
+    const bool isListed
+        = std::any_of(first, last, [&](const auto& field) { return http::token_list(field.value()).exists(name); });
+    // A field that says whose response it is must not be listed (RFC 9110, section 7.6.1).
+    return isListed && std::none_of(m_singleFields.begin(), m_singleFields.end(), [&](const std::string& single) {
+        return equalsIgnoringCase(single, name);
+    });
+}
+
 std::vector<HeaderField> HttpExchange::endToEndFields() const
 {
     std::vector<HeaderField> fields;
     for (const auto& field : m_parser->get()) {
-        const auto name = field.name_string();
-        if (!isHopByHop({ name.data(), name.size() }) && !isProductField({ name.data(), name.size() }))
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        if (!isHopByHop(name) && !isProductField(name) && !isForThisConnection(name))
             fields.push_back({ std::string(name), std::string(field.value()) });
     }
     return fields;
--- a/snipeweir/relay/HttpExchange.h
+++ b/snipeweir/relay/HttpExchange.h
@@ -112,6 +112,8 @@
     /// Reads and parses bytes until the parser has a whole head.
     asio::awaitable<error_code> parseHead();
     std::optional<ResponseFault> findHeadFault() const;
+    /// @return Whether the response names a field as one of this connection alone.
+    bool isForThisConnection(std::string_view name) const;
     /// Ends the exchange, whose peer sent an invalid response.
     StepResult finishMalformed(std::string fault);
     /// Ends the exchange after an error of the connection or the parser.
--- a/tests/relay/test_malformed_responses.py
+++ b/tests/relay/test_malformed_responses.py
@@ -171,6 +171,15 @@
                     self.assertEqual((received.status, received.body, runs), (200, b"hello", 1))
                     self.assertFalse([name for name in received.fields if name.startswith("snipeweir-")])
 
+    async def test_a_field_for_one_connection_is_passed_on(self):
+        fields = b"Connection: close, X-Hop\r\nConnection: x-other, Server-Seal\r\nX-Other: y\r\nX-Hop: y\r\nX-End: y\r\nKeep-Alive: timeout=5\r\n"
+        for node in self.fleet.nodes:
+            with self.subTest(hop=node is not self.server):
+                received, _ = await self.send(node, head(fields + BODY))
+                self.assertEqual((received.status, received.body), (200, b"hello"))
+                names = ("x-end", "server-seal", "x-hop", "x-other")
+                self.assertEqual([received.fields.get(name) for name in names], ["y", "s", None, None])
+
     async def test_a_connection_is_used_again_after_a_malformed_response(self):
         async def finish_run(reader, writer, fields, request_id):
             # The connection stays open, and the rest of it belongs to nobody.
