--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -158,6 +158,7 @@
         self.mode = "ok"
         self.request_count = 0
         self.page_time = 0.0  # Seconds over which the body of a page is sent.
+        self.change_head = bytes  # Changes the heads of responses.
 
     async def start(self, port):
         self.server = await asyncio.start_server(self.serve, self.ip, port, backlog=512)
@@ -188,7 +189,7 @@
                     await asyncio.sleep(0.05)
                 status, body = (503, {}) if self.mode == "refuse" else await self.respond(path, arguments)
                 text = json.dumps(body).encode()
-                writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n".encode())
+                writer.write(self.change_head(f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n".encode()))
                 if path == "/v1/kv-range" and self.page_time:
                     for i in range(10):
                         await asyncio.sleep(self.page_time / 10)
@@ -246,6 +247,7 @@
         self.rate_limit = None  # Requests per second that all responses name as the most that the server takes.
         self.is_health_silent = False  # Whether health checks get no response.
         self.health_delay = 0.0  # Seconds until a health check gets its response.
+        self.change_health_head = bytes  # Changes the heads of responses to health checks.
         self.endless = None  # Bytes to send, and bytes to repeat after them until the node closes the connection.
         self.endless_ends = []  # (begin, end) of such responses, the end when the node closed the connection.
         self.body = b"x" * 300
@@ -303,8 +305,9 @@
                     cold = max(0, int((self.cold_until - time.monotonic()) * 1000))
                     extra = f"Cold-Ms: {cold}\r\n" if cold else ""
                     status = "503 X" if self.is_leaving else "200 OK"
-                    writer.write(f"HTTP/1.1 {status}\r\nInstance-Id: {self.instance}\r\nServer-Load: 0,0,10,100\r\n"
-                                 f"{self.notices()}{extra}Content-Length: 0\r\n\r\n".encode())
+                    writer.write(self.change_health_head((
+                        f"HTTP/1.1 {status}\r\nInstance-Id: {self.instance}\r\nServer-Load: 0,0,10,100\r\n"
+                        f"{self.notices()}{extra}Content-Length: 0\r\n\r\n").encode()))
                     await writer.drain()
                     continue
                 await self.run(reader, writer, line, fields, body)
@@ -494,6 +497,7 @@
         self.ip, self.store, self.sequence = ip, store, 0
         self.revision, self.document = 0, b""
         self.response_delay = 0.0  # Seconds.
+        self.change_head = bytes  # Changes the heads of responses.
         self.connections = 0
         self.silent_connections = 0  # Connections up to this number get no responses.
 
@@ -528,8 +532,8 @@
                 continue
             await asyncio.sleep(self.response_delay)
             body = zstd_frame(self.document)
-            writer.write(f"HTTP/1.1 200 OK\r\nSnipeweir-Revision: {self.revision}\r\n"
-                         f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+            writer.write(self.change_head((f"HTTP/1.1 200 OK\r\nSnipeweir-Revision: {self.revision}\r\n"
+                                           f"Content-Length: {len(body)}\r\n\r\n").encode()) + body)
         writer.close()
 
 
--- a/tests/relay/test_malformed_responses.py
+++ b/tests/relay/test_malformed_responses.py
@@ -11,7 +11,7 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from fleet import Fleet  # noqa: E402
+from fleet import Announcer, Fleet  # noqa: E402
 
 PROGRAM = sys.argv.pop(1) if len(sys.argv) > 1 else "build/bin/snipeweir-platform"
 OWN = b"Request-Id: {id}\r\nServer-Seal: s\r\n"
@@ -112,6 +112,25 @@
     "a type sent twice": (head(b"Content-Type: text/plain\r\nContent-Type: text/plain\r\n" + BODY), HELLO),
 }
 
+def with_more(lines):
+    """Returns a function that adds header lines to a head."""
+    return lambda whole: whole[:-2] + lines + b"\r\n\r\n"
+
+
+# Functions that make a valid head malformed.
+CHANGES = {
+    "status 000": lambda whole: whole.replace(b" 200 ", b" 000 "),
+    "status 600": lambda whole: whole.replace(b" 200 ", b" 600 "),
+    "a name that ends with a blank": with_more(b"X : y"),
+    "a name with a control byte": with_more(b"X\x01: y"),
+    "a continued line": with_more(b" X: y"),
+    "a value with a control byte": with_more(b"X: \x01"),
+    "another length": with_more(b"Content-Length: 1"),
+    "another type": with_more(b"Content-Type: a/b\r\nContent-Type: a/c"),
+    "an upgrade": lambda whole: b"HTTP/1.1 101 X\r\n\r\n" + whole,
+}
+
+
 class MalformedResponseTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.folder = tempfile.TemporaryDirectory()
@@ -206,6 +225,81 @@
         self.assertEqual([event["fault"] for event in events if event["event"] == "ran"], ["status", "status"])
 
 
+class OtherReadersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.fleet = Fleet(PROGRAM, self.folder.name, ["one"])
+        await self.fleet.start()
+        self.node = self.fleet.nodes[0]
+
+    async def asyncTearDown(self):
+        await self.fleet.stop()
+        self.folder.cleanup()
+
+    def events(self, name):
+        return [event for event in map(json.loads, self.node.log_text().splitlines()) if event["event"] == name]
+
+    async def wait_for(self, condition, timeout=6.0):
+        """Waits until a condition holds. Returns whether it does."""
+        for _ in range(int(timeout / 0.05)):
+            if condition():
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
+    async def wait_for_refusal(self):
+        """Waits until the node has logged one more malformed response."""
+        count = len(self.events("malformed_response"))
+        self.assertTrue(await self.wait_for(lambda: len(self.events("malformed_response")) > count))
+
+    async def test_a_malformed_response_to_a_health_check_says_which_instance_runs(self):
+        for name, change in CHANGES.items():
+            with self.subTest(name):
+                self.node.backend.change_health_head = lambda whole: change(whole.replace(b"i-0", b"i-9"))
+                await self.wait_for_refusal()
+                self.assertEqual({event["instance"] for event in self.events("server_instance")}, {"i-0"})
+        self.assertEqual(self.events("server_health")[-1]["healthy"], "false")
+        self.node.backend.change_health_head = bytes
+        self.assertTrue(await self.wait_for(lambda: self.events("server_health")[-1]["healthy"] == "true"))
+
+    async def test_a_malformed_response_of_the_store_changes_the_configuration(self):
+        routes = [self.fleet.route("/u/", "unsafe", "one")]
+        for number, (name, change) in enumerate(CHANGES.items()):
+            with self.subTest(name):
+                taken = len(self.events("configuration_taken"))
+                self.fleet.store.change_head = change
+                routes.append(self.fleet.route(f"/{number}/", "safe", "one"))
+                self.fleet.configure(routes)
+                await self.wait_for_refusal()
+                self.assertEqual(len(self.events("configuration_taken")), taken)
+                self.fleet.store.change_head = bytes
+                self.assertTrue(await self.wait_for(lambda: len(self.events("configuration_taken")) > taken))
+
+    async def test_a_malformed_response_of_another_node_changes_the_view(self):
+        announcer = Announcer(f"{self.fleet.subnet}.0.100", self.fleet.store)
+        await announcer.start()
+        # From now on the node gets documents from the simulated node only.
+        self.node.store_proxy.set_mode("reset")
+        await asyncio.sleep(0.5)
+        changes = CHANGES | {"another revision": with_more(b"Snipeweir-Revision: 999999")}
+        for number, (name, change) in enumerate(changes.items()):
+            with self.subTest(name):
+                self.fleet.store.put(f"servers/i-{50 + number}",
+                                     self.node.backend.entry(f"{self.fleet.subnet}.0.{50 + number}", "a"))
+                announcer.read()
+                before = await self.fleet.metric(self.node, "snipeweir_backends")
+                announcer.change_head = change
+                announcer.announce(self.node, 0)
+                await self.wait_for_refusal()
+                self.assertEqual(await self.fleet.metric(self.node, "snipeweir_backends"), before)
+                announcer.change_head = bytes
+                await asyncio.sleep(1.6)  # Attempts at this version have ended.
+                announcer.announce(self.node, 0)
+                await asyncio.sleep(0.5)
+                self.assertEqual(await self.fleet.metric(self.node, "snipeweir_backends"), before + 1)
+        await announcer.stop()
+
+
 class TwoServersTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_idempotent_request_is_lost_or_another_one_sent_again_after_a_malformed_response(self):
         async def finish_run(reader, writer, fields, request_id):
