Let HttpClient ask findResponseFault(), too

What callers of snipeweird could get: a response with status 000 or 600, in HTTP/2 or ICY, with a blank or a control byte in the name of a field (and, for "Content-Length : 3" beside a length of 5, with a body that was not the server's), with two lengths, with a length of 2^63 and a body of 5 bytes, with a transfer coding and a length. A line " Snipeweir-Not-Run: 1" that continued another field said "not run" for a call that had run, and a line "HTTP/1.1 200 OK" among the fields took away the fields before it.

Cause: libcurl hands over lines as they are and vets few of them; HttpClient trimmed names and skipped what it could not split.

Change: a head is a status line and field lines that end with CR LF, split by parseStatusLine() and parseFieldLine(); findResponseFault() vets interim and final heads as it does for HttpExchange, findFieldFault() the trailer. A continued line is refused, since libcurl frames the body by the line alone. A body that is shorter than its length is not complete, whatever libcurl says.

--- a/snipeweir/core/ResponseSyntax.cpp
+++ b/snipeweir/core/ResponseSyntax.cpp
@@ -15,6 +15,7 @@
     constexpr unsigned http11 = 11;
     constexpr unsigned switchingProtocols = 101;
     constexpr unsigned noContent = 204;
+    constexpr std::string_view contentLengthName = "Content-Length";
 
     /// Fields of which two different values would let two readers take one response for different ones.
     constexpr std::array<std::string_view, 15> singleFields { "Content-Type", "Content-Range", "Content-Location",
@@ -46,6 +47,11 @@
                                                : text.substr(first, text.find_last_not_of(" \t") - first + 1);
     }
 
+    std::optional<std::string_view> withoutLineEnd(std::string_view line)
+    {
+        return line.ends_with("\r\n") ? std::optional(line.substr(0, line.size() - 2)) : std::nullopt;
+    }
+
     std::optional<uint64_t> parseLength(std::string_view text)
     {
         uint64_t value = 0;
@@ -74,7 +80,7 @@
         std::optional<uint64_t> length;
         bool isCoded = false;
         for (const ResponseField& field : head.fields) {
-            if (equalsIgnoringCase(field.name, "Content-Length")) {
+            if (equalsIgnoringCase(field.name, contentLengthName)) {
                 const auto next = parseLengths(field.value);
                 if (!next || (length && *length != *next))
                     return ResponseFault::ContentLength;
@@ -123,12 +129,16 @@
 std::string_view responseFaultName(ResponseFault fault)
 {
     switch (fault) {
+    case ResponseFault::StatusLine:
+        return "status_line";
     case ResponseFault::Version:
         return "version";
     case ResponseFault::Status:
         return "status";
     case ResponseFault::UnrequestedUpgrade:
         return "unrequested_upgrade";
+    case ResponseFault::FieldLine:
+        return "field_line";
     case ResponseFault::ContinuedLine:
         return "continued_line";
     case ResponseFault::FieldName:
@@ -143,6 +153,10 @@
         return "transfer_coding";
     case ResponseFault::UnexpectedContent:
         return "unexpected_content";
+    case ResponseFault::TrailerSize:
+        return "trailer_size";
+    case ResponseFault::NoLength:
+        return "no_length";
     }
     return "";
 }
@@ -176,4 +190,44 @@
     return lines.find("\n ") != std::string_view::npos || lines.find("\n\t") != std::string_view::npos;
 }
 
+std::optional<ResponseHeadView> parseStatusLine(std::string_view line)
+{
+    constexpr std::string_view prefix = "HTTP/";
+    constexpr size_t minSize = std::string_view("HTTP/1.1 200 ").size();
+    const auto text = withoutLineEnd(line);
+    if (!text || text->size() < minSize || !text->starts_with(prefix) || !isText(*text))
+        return std::nullopt;
+    const auto digit = [&](size_t index) {
+        const char c = (*text)[index];
+        return c >= '0' && c <= '9' ? std::optional(static_cast<unsigned>(c - '0')) : std::nullopt;
+    };
+    const auto major = digit(5);
+    const auto minor = digit(7);
+    const auto status = parseLength(text->substr(9, 3));
+    if (!major || !minor || !status || (*text)[6] != '.' || (*text)[8] != ' ' || (*text)[12] != ' ')
+        return std::nullopt;
+    ResponseHeadView head;
+    head.version = *major * 10 + *minor;
+    head.status = static_cast<unsigned>(*status);
+    return head;
+}
+
+std::optional<ResponseField> parseFieldLine(std::string_view line)
+{
+    const auto text = withoutLineEnd(line);
+    const auto colon = text ? text->find(':') : std::string_view::npos;
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    return ResponseField { text->substr(0, colon), trimmed(text->substr(colon + 1)) };
+}
+
+std::optional<uint64_t> contentLength(std::span<const ResponseField> fields)
+{
+    for (const ResponseField& field : fields) {
+        if (equalsIgnoringCase(field.name, contentLengthName))
+            return parseLengths(field.value);
+    }
+    return std::nullopt;
+}
+
 }
--- a/snipeweir/core/ResponseSyntax.h
+++ b/snipeweir/core/ResponseSyntax.h
@@ -10,12 +10,15 @@
 
 /// What makes a response invalid (RFC 9110, RFC 9112).
 enum class ResponseFault {
+    StatusLine,
     /// Neither HTTP/1.0 nor HTTP/1.1.
     Version,
     /// Outside 100 to 599.
     Status,
     /// Status 101, which no request asks for.
     UnrequestedUpgrade,
+    /// A line that is not a field name, a colon and a value, ended by CR LF.
+    FieldLine,
     /// A line that continues the one before it (obs-fold); the parties would disagree about which field it belongs to.
     ContinuedLine,
     FieldName,
@@ -27,6 +30,9 @@
     TransferCoding,
     /// A length or a transfer coding with a status that has no content (1xx, 204).
     UnexpectedContent,
+    TrailerSize,
+    /// Neither a length nor a coding that says where the body ends.
+    NoLength,
 };
 
 /// @return Stable snake_case name, as in logs.
@@ -60,4 +66,16 @@
 /// @return Whether a line continues the one before it.
 bool hasContinuedLine(std::string_view lines);
 
+/// @param line Line with its end.
+/// @return Version and status, without fields; empty if the line is not a status line.
+std::optional<ResponseHeadView> parseStatusLine(std::string_view line);
+
+/// @param line Line with its end.
+/// @return The field; empty if the line has no colon or does not end with CR LF.
+std::optional<ResponseField> parseFieldLine(std::string_view line);
+
+/// @return The value of Content-Length, also if it stands several times with the same value; empty if it is absent or
+/// malformed.
+std::optional<uint64_t> contentLength(std::span<const ResponseField>);
+
 }
--- a/snipeweir/transport/HttpClient.cpp
+++ b/snipeweir/transport/HttpClient.cpp
@@ -25,14 +25,6 @@
         (void)code;
     }
 
-    std::string_view trimmed(std::string_view text)
-    {
-        const auto first = text.find_first_not_of(" \t\r\n");
-        if (first == std::string_view::npos)
-            return {};
-        return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
-    }
-
 }
 
 std::optional<std::string_view> HttpResponseHead::header(std::string_view name) const
@@ -129,57 +121,86 @@
     auto* self = static_cast<HttpTransfer*>(transfer);
     self->m_lastProgress = self->m_client.m_clock.now();
     self->readHeaderLine(std::string_view(data, size * count));
-    return self->m_hasAborted || self->m_isMalformed ? 0 : size * count;
+    return self->m_hasAborted || self->m_fault ? 0 : size * count;
 }
 
 void HttpTransfer::readHeaderLine(std::string_view line)
 {
+    if (m_fault)
+        return;
+    const bool isEmpty = line == "\r\n";
     if (m_head.status != 0) {
         // A line after the final head belongs to the trailer, which is not used. libcurl does not limit its size.
         m_trailerBytes += line.size();
-        m_isMalformed = m_isMalformed || m_trailerBytes > maxTrailerBytes;
-        return;
-    }
-    if (line.starts_with("HTTP/")) {
-        m_partialHead = {};
-        const auto space = line.find(' ');
-        if (space == std::string_view::npos)
-            m_isMalformed = true;
-        else
-            std::from_chars(line.data() + space + 1, line.data() + line.size(), m_partialHead.status);
-        return;
-    }
-    if (!trimmed(line).empty()) {
-        const auto colon = line.find(':');
-        if (colon == std::string_view::npos)
-            return;
-        m_partialHead.headers.push_back(
-            { std::string(trimmed(line.substr(0, colon))), std::string(trimmed(line.substr(colon + 1))) });
-        return;
+        if (m_trailerBytes > maxTrailerBytes)
+            refuse(ResponseFault::TrailerSize);
+        else if (!isEmpty)
+            readFieldLine(line);
+    } else if (!m_partialHead) {
+        const auto start = parseStatusLine(line);
+        if (!start)
+            return refuse(ResponseFault::StatusLine);
+        m_partialHead.emplace().status = static_cast<int>(start->status);
+        m_partialVersion = start->version;
+    } else if (isEmpty) {
+        finishHead();
+    } else {
+        readFieldLine(line);
     }
+}
 
-    // An empty line ends a head. An interim response only counts as progress.
-    if (m_partialHead.status < 200)
+void HttpTransfer::readFieldLine(std::string_view line)
+{
+    // libcurl does not join continued lines, so its framing could differ from that of the joined field.
+    if (line.starts_with(' ') || line.starts_with('\t'))
+        return refuse(ResponseFault::ContinuedLine);
+    const auto field = parseFieldLine(line);
+    if (!field)
+        return refuse(ResponseFault::FieldLine);
+    if (m_partialHead)
+        m_partialHead->headers.push_back({ std::string(field->name), std::string(field->value) });
+    else if (const auto fault = findFieldFault(*field))
+        refuse(*fault);
+}
+
+void HttpTransfer::finishHead()
+{
+    HttpResponseHead head = std::move(*m_partialHead);
+    m_partialHead.reset();
+    std::vector<ResponseField> fields;
+    fields.reserve(head.headers.size());
+    for (const auto& header : head.headers)
+        fields.push_back({ header.name, header.value });
+    if (const auto fault = findResponseFault({ m_partialVersion, static_cast<unsigned>(head.status), fields, {} }))
+        return refuse(*fault);
+    // An interim response only counts as progress.
+    if (head.status < 200)
         return;
-    m_head = std::move(m_partialHead);
-    m_partialHead = {};
-    if (const auto length = m_head.header("Content-Length")) {
-        uint64_t bytes = 0;
-        const auto parsed = std::from_chars(length->data(), length->data() + length->size(), bytes);
-        m_isMalformed = parsed.ec != std::errc() || parsed.ptr != length->data() + length->size();
-        m_head.contentLength = bytes;
-    }
+    head.contentLength = contentLength(fields);
+    m_head = std::move(head);
     // A body that is delimited only by the end of the connection cannot be distinguished from a truncated one.
-    const bool hasBody = m_request.method != "HEAD" && m_head.status != 204 && m_head.status != 304;
-    if (hasBody && !m_head.contentLength && !m_head.header("Transfer-Encoding"))
-        m_isMalformed = true;
-    if (!m_isMalformed && m_hooks.onHead && !m_hooks.onHead(m_head))
+    if (hasBody() && !m_head.contentLength && !m_head.header("Transfer-Encoding"))
+        return refuse(ResponseFault::NoLength);
+    if (m_hooks.onHead && !m_hooks.onHead(m_head))
         m_hasAborted = true;
 }
 
+bool HttpTransfer::hasBody() const
+{
+    return m_request.method != "HEAD" && m_head.status != 204 && m_head.status != 304;
+}
+
+void HttpTransfer::refuse(ResponseFault fault)
+{
+    m_fault = fault;
+    if (m_client.onMalformedResponse)
+        m_client.onMalformedResponse(m_request.to, responseFaultName(fault));
+}
+
 size_t HttpTransfer::onBodyData(char* data, size_t size, size_t count, void* transfer)
 {
     auto* self = static_cast<HttpTransfer*>(transfer);
+    self->m_bodyBytes += size * count;
     if (self->m_hooks.onBody && !self->m_hooks.onBody(std::string_view(data, size * count))) {
         self->m_hasAborted = true;
         return 0;
@@ -193,12 +214,15 @@
 {
     if (m_hasAborted)
         return TransferEnd::Aborted;
-    if (m_isMalformed)
+    if (m_fault)
         return TransferEnd::Malformed;
     switch (curlCode) {
     case CURLE_OK:
-        // libcurl also reports success if the connection ends within a head.
-        return m_head.status != 0 ? TransferEnd::Complete : TransferEnd::ConnectionLost;
+        // libcurl also reports success if the connection ends within a head, or within a body whose length is beyond
+        // its own range.
+        return m_head.status != 0 && (!hasBody() || m_bodyBytes == m_head.contentLength.value_or(m_bodyBytes))
+            ? TransferEnd::Complete
+            : TransferEnd::ConnectionLost;
     // libcurl resends a request on its own when a reused connection ends without a response. The resend may fail to
     // connect although the server has run the first send. After any send, a failed connect therefore does not prove
     // that the request was not run.
--- a/snipeweir/transport/HttpClient.h
+++ b/snipeweir/transport/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include "snipeweir/core/Clock.h"
 #include "snipeweir/core/Identity.h"
+#include "snipeweir/core/ResponseSyntax.h"
 #include "snipeweir/transport/HttpServer.h"
 
 #include <chrono>
@@ -94,6 +95,10 @@
     static size_t onBodyData(char* data, size_t size, size_t count, void* transfer);
     bool prepare();
     void readHeaderLine(std::string_view line);
+    void readFieldLine(std::string_view line);
+    void finishHead();
+    void refuse(ResponseFault);
+    bool hasBody() const;
     std::optional<TransferEnd> endReason(int curlCode) const;
     void finish(bool isReusable);
 
@@ -102,12 +107,15 @@
     HttpRequest m_request;
     TransferHooks m_hooks;
     HttpResponseHead m_head;
-    HttpResponseHead m_partialHead;
+    /// Head whose lines are being received; empty before its status line.
+    std::optional<HttpResponseHead> m_partialHead;
+    unsigned m_partialVersion = 0;
     size_t m_trailerBytes = 0;
+    uint64_t m_bodyBytes = 0;
+    std::optional<ResponseFault> m_fault;
     SteadyTime m_lastProgress;
     bool m_mayHaveSent = false; ///< A connection was established, so part of the request may have been sent.
     bool m_hasAborted = false;
-    bool m_isMalformed = false;
     bool m_hasFinished = false;
     void* m_headerList = nullptr;
 };
@@ -133,6 +141,10 @@
     /// passed or noProgressTimeout or headTimeout expired; or ErrorCode::Unavailable for any other failure.
     Result<std::pair<HttpResponseHead, std::string>> fetch(HttpRequest, size_t maxBytes);
 
+    /// Called with what makes a response invalid, on the thread that drives its transfer; may be empty. Set before the
+    /// first request.
+    std::function<void(const Address&, std::string_view fault)> onMalformedResponse;
+
 private:
     friend class HttpTransfer;
     std::unique_ptr<HttpTransfer::PooledConnection> acquireConnection(const Address&);
--- a/tests/transport/HttpTests.cpp
+++ b/tests/transport/HttpTests.cpp
@@ -231,6 +231,91 @@
     }
 }
 
+TEST_CASE("A malformed response reaches the reader")
+{
+    const std::string body = "Content-Length: 5\r\n\r\nhello";
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::vector<std::string> responses;
+    for (const std::string start : { "HTTP/1.1 000 X", "HTTP/1.1 001 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X",
+             "HTTP/1.1 999 X", "HTTP/1.1 20 X", "HTTP/1.1 2000 X", "HTTP/1.1 2x0 X", "HTTP/1.1 +20 X", "HTTP/1.1 -20 X",
+             "HTTP/1.1  200 X", "HTTP/1.1 ", "HTTP/1.1\t200 X", "HTTP/0.9 200 X", "HTTP/1.2 200 X", "HTTP/1.9 200 X",
+             "HTTP/2.0 200 X", "HTTP/2 200 X", "HTTP/3 200 X", "HTTP/11 200 X", "HTTP/1.10 200 X", "http/1.1 200 X",
+             "HTTP 200 X", "ICY 200 X", " HTTP/1.1 200 X", "\r\nHTTP/1.1 200 X", "HTTP/1.1 200 a\rb",
+             "HTTP/1.1 200 a\x01z", "HTTP/1.1 200 a\x7fz" })
+        responses.push_back(start + "\r\n" + body);
+    for (const std::string line :
+        { ": x", " : x", "X : x", "X\t: x", " X: x", "\tX: x", "X Y: x", "X\x01: x", "\x1fX: x", "X\x7f: x", "X\r: x",
+            "X(: x", "X/Y: x", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK: x", "X\x80: x", "X\xff: x", "X", "X: a\r\n b: c",
+            "X: a\r\n\tb", "X: a\x01z", "X: a\x7fz", "X: a\rb", "X: y\nZ: y", "Content-Length : 3", "Content-Length: 6",
+            "Transfer-Encoding: chunked", "Transfer-Encoding: gzip", "Content-Type: a/b\r\nContent-Type: a/c",
+            "Snipeweir-Outcome: done\r\nSnipeweir-Outcome: not_run", "Connection\x01: close" }) {
+        responses.push_back("HTTP/1.1 200 OK\r\n" + line + "\r\n" + body);
+        responses.push_back("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + line + "\r\n\r\nhello");
+        responses.push_back("HTTP/1.1 103 X\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n" + body);
+    }
+    for (const std::string length :
+        { "", "-5", "+5", "5x", "0x5", "5.0", "5 5", "5,6", "5,", ",", "18446744073709551616", "18446744073709551615",
+            "9223372036854775808", "99999999999999999999999", "\r\n 5" })
+        responses.push_back("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nhello");
+    for (const std::string coding : { "", "gzip", "identity", "gzip, chunked", "chunked, identity", "chunked, chunked",
+             "xchunked", "chunked;q=1", "chunked\r\nTransfer-Encoding: chunked", "\r\n chunked" })
+        responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+    responses.push_back("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+    responses.push_back("HTTP/1.1 200 OK\nContent-Length: 5\n\nhello");
+    responses.push_back("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\nhello");
+    responses.push_back("HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nHTTP/1.1 200 OK\r\n" + body);
+    responses.push_back("HTTP/1.1 204 X\r\n" + body);
+    responses.push_back("HTTP/1.1 204 X\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+    responses.push_back("HTTP/1.1 103 X\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1 200 OK\r\n" + body);
+    responses.push_back(std::string("HTTP/1.1 200 OK\r\nX\0: y\r\n", 25) + body);
+    responses.push_back(std::string("HTTP/1.1 200 OK\r\nX: \0\r\n", 24) + body);
+    for (const std::string chunk :
+        { "\r\nhello", "x\r\nhello", "-5\r\nhello", "+5\r\nhello", " 5\r\nhello", "0x5\r\nhello", "5\rhello",
+            "5\r\nhello!", "10000000000000005\r\nhello", "FFFFFFFFFFFFFFFFF\r\nhello", "5\r\nhello\n" })
+        responses.push_back(chunked + chunk + "\r\n0\r\n\r\n");
+    for (const std::string line : { "X : y", "X\x01: y", ": y", "X", "X: \x7f", " X: y", "X: y\r\n z" })
+        responses.push_back(chunked + "5\r\nhello\r\n0\r\n" + line + "\r\n\r\n");
+    for (const std::string& response : responses) {
+        CAPTURE(response);
+        const RawServer server(response, "");
+        const SystemClock clock;
+        HttpClient client(clock);
+        CHECK(performGet(client, clock, std::chrono::milliseconds(1000)) != TransferEnd::Complete);
+    }
+}
+
+TEST_CASE("A valid response is refused or changed")
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const std::string body = "Content-Length: 5\r\n\r\nhello";
+    const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& response : { start + body, "HTTP/1.1 599 X\r\n" + body, "HTTP/1.1 200 \r\n" + body,
+             "HTTP/1.1 200 \x80\xff\t:\r\n" + body, "HTTP/1.0 200 OK\r\n" + body,
+             start + "X!#$%&'*+-.^_`|~09az: y\r\n" + body, start + "X:\t \x80\xff a\tb \t\r\nY:\r\n" + body,
+             start + "Content-Length: 5\r\n" + body, start + "Content-Length: 05\r\n\r\nhello",
+             "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 199 X\r\nX: y\r\n\r\n" + start + body,
+             "HTTP/1.1 103 X\r\nContent-Length: 0\r\n\r\n" + start + body, chunked + "5\r\nhello\r\n0\r\n\r\n",
+             chunked + "005\r\nhello\r\n000\r\n\r\n", chunked + "1;a\r\nh\r\n4;a=b;c=\"d;e\"\r\nello\r\n0;f\r\n\r\n",
+             chunked + "5\r\nhello\r\n0\r\nX: y\r\nZ: z\r\n\r\n",
+             start + "Content-Type: a/b\r\nContent-Type: a/b\r\n" + body }) {
+        CAPTURE(response);
+        const RawServer server(response, "");
+        const SystemClock clock;
+        HttpClient client(clock);
+        std::string received;
+        HttpRequest request;
+        request.to = address;
+        request.deadline = clock.now() + std::chrono::seconds(2);
+        TransferHooks hooks;
+        hooks.onBody = [&](std::string_view piece) {
+            received.append(piece);
+            return true;
+        };
+        CHECK(client.perform(std::move(request), std::move(hooks)) == TransferEnd::Complete);
+        CHECK(received == "hello");
+    }
+}
+
 TEST_CASE("Lines without end hold a transfer until its deadline, or memory")
 {
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
