Check the chunks that libcurl decodes

Callers of snipeweird could get a body that was not the server's: "5\r\nhell\r\n" was the five bytes "hell\r", and "5 5" or "5x" a chunk of 5.

Cause: libcurl skips what stands between the size of a chunk and the end of its line, takes LF alone for an end of line, and does not look at the CR behind a chunk.

Change: ChunkedBodyCheck gives the coded bytes, which libcurl shows to its debug function before it decodes them, to the parser of Boost.Beast, so that both readers hold chunks and trailers to the same. Bytes that are refused are not passed on.

--- a/snipeweir/core/ResponseSyntax.cpp
+++ b/snipeweir/core/ResponseSyntax.cpp
@@ -155,6 +155,8 @@
         return "unexpected_content";
     case ResponseFault::TrailerSize:
         return "trailer_size";
+    case ResponseFault::ChunkedBody:
+        return "chunked_body";
     case ResponseFault::NoLength:
         return "no_length";
     }
--- a/snipeweir/core/ResponseSyntax.h
+++ b/snipeweir/core/ResponseSyntax.h
@@ -31,6 +31,7 @@
     /// A length or a transfer coding with a status that has no content (1xx, 204).
     UnexpectedContent,
     TrailerSize,
+    ChunkedBody,
     /// Neither a length nor a coding that says where the body ends.
     NoLength,
 };
--- a/snipeweir/transport/HttpClient.cpp
+++ b/snipeweir/transport/HttpClient.cpp
@@ -95,6 +95,8 @@
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &HttpTransfer::onBodyData);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, &HttpTransfer::onDebugData);
+    curl_easy_setopt(easy, CURLOPT_DEBUGDATA, this);
     if (m_request.reuse == ConnectionReuse::Forbidden) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
@@ -181,15 +183,35 @@
     // A body that is delimited only by the end of the connection cannot be distinguished from a truncated one.
     if (hasBody() && !m_head.contentLength && !m_head.header("Transfer-Encoding"))
         return refuse(ResponseFault::NoLength);
+    if (hasBody() && !m_head.contentLength) {
+        m_chunks = std::make_unique<ChunkedBodyCheck>();
+        // Only the debug function gets the bytes of the body before they are decoded.
+        curl_easy_setopt(m_connection->easy, CURLOPT_VERBOSE, 1L);
+    }
     if (m_hooks.onHead && !m_hooks.onHead(m_head))
         m_hasAborted = true;
 }
 
+int HttpTransfer::onDebugData(void*, int kind, char* data, size_t size, void* transfer)
+{
+    auto* self = static_cast<HttpTransfer*>(transfer);
+    if (kind == CURLINFO_DATA_IN && self->m_chunks && !self->m_fault && !self->m_chunks->add({ data, size }))
+        self->refuse(ResponseFault::ChunkedBody);
+    return 0;
+}
+
 bool HttpTransfer::hasBody() const
 {
     return m_request.method != "HEAD" && m_head.status != 204 && m_head.status != 304;
 }
 
+bool HttpTransfer::isBodyComplete() const
+{
+    if (m_chunks)
+        return m_chunks->isComplete();
+    return !hasBody() || m_bodyBytes == m_head.contentLength.value_or(m_bodyBytes);
+}
+
 void HttpTransfer::refuse(ResponseFault fault)
 {
     m_fault = fault;
@@ -200,6 +222,8 @@
 size_t HttpTransfer::onBodyData(char* data, size_t size, size_t count, void* transfer)
 {
     auto* self = static_cast<HttpTransfer*>(transfer);
+    if (self->m_fault)
+        return 0;
     self->m_bodyBytes += size * count;
     if (self->m_hooks.onBody && !self->m_hooks.onBody(std::string_view(data, size * count))) {
         self->m_hasAborted = true;
@@ -220,9 +244,7 @@
     case CURLE_OK:
         // libcurl also reports success if the connection ends within a head, or within a body whose length is beyond
         // its own range.
-        return m_head.status != 0 && (!hasBody() || m_bodyBytes == m_head.contentLength.value_or(m_bodyBytes))
-            ? TransferEnd::Complete
-            : TransferEnd::ConnectionLost;
+        return m_head.status != 0 && isBodyComplete() ? TransferEnd::Complete : TransferEnd::ConnectionLost;
     // libcurl resends a request on its own when a reused connection ends without a response. The resend may fail to
     // connect although the server has run the first send. After any send, a failed connect therefore does not prove
     // that the request was not run.
--- a/snipeweir/transport/HttpClient.h
+++ b/snipeweir/transport/HttpClient.h
@@ -3,6 +3,7 @@
 #include "snipeweir/core/Clock.h"
 #include "snipeweir/core/Identity.h"
 #include "snipeweir/core/ResponseSyntax.h"
+#include "snipeweir/transport/ChunkedBodyCheck.h"
 #include "snipeweir/transport/HttpServer.h"
 
 #include <chrono>
@@ -92,6 +93,7 @@
     HttpTransfer(class HttpClient&, std::unique_ptr<PooledConnection>, HttpRequest, TransferHooks);
     static int onConnected(void* transfer, char* peerIp, char* localIp, int peerPort, int localPort);
     static size_t onHeaderLine(char* data, size_t size, size_t count, void* transfer);
+    static int onDebugData(void* easy, int kind, char* data, size_t size, void* transfer);
     static size_t onBodyData(char* data, size_t size, size_t count, void* transfer);
     bool prepare();
     void readHeaderLine(std::string_view line);
@@ -99,6 +101,7 @@
     void finishHead();
     void refuse(ResponseFault);
     bool hasBody() const;
+    bool isBodyComplete() const;
     std::optional<TransferEnd> endReason(int curlCode) const;
     void finish(bool isReusable);
 
@@ -112,6 +115,8 @@
     unsigned m_partialVersion = 0;
     size_t m_trailerBytes = 0;
     uint64_t m_bodyBytes = 0;
+    /// Empty unless the body is chunked.
+    std::unique_ptr<ChunkedBodyCheck> m_chunks;
     std::optional<ResponseFault> m_fault;
     SteadyTime m_lastProgress;
     bool m_mayHaveSent = false; ///< A connection was established, so part of the request may have been sent.
--- a/tests/transport/HttpTests.cpp
+++ b/tests/transport/HttpTests.cpp
@@ -270,10 +270,11 @@
     responses.push_back(std::string("HTTP/1.1 200 OK\r\nX\0: y\r\n", 25) + body);
     responses.push_back(std::string("HTTP/1.1 200 OK\r\nX: \0\r\n", 24) + body);
     for (const std::string chunk :
-        { "\r\nhello", "x\r\nhello", "-5\r\nhello", "+5\r\nhello", " 5\r\nhello", "0x5\r\nhello", "5\rhello",
-            "5\r\nhello!", "10000000000000005\r\nhello", "FFFFFFFFFFFFFFFFF\r\nhello", "5\r\nhello\n" })
+        { "\r\nhello", "x\r\nhello", "-5\r\nhello", "+5\r\nhello", " 5\r\nhello", "0x5\r\nhello", "5 5\r\nhello",
+            "5x\r\nhello", "5\nhello", "5\rhello", "5\r\nhello!", "5\r\nhell", "10000000000000005\r\nhello",
+            "FFFFFFFFFFFFFFFFF\r\nhello", "5;\x01\r\nhello", "5;=\r\nhello", "5\r\nhello\n" })
         responses.push_back(chunked + chunk + "\r\n0\r\n\r\n");
-    for (const std::string line : { "X : y", "X\x01: y", ": y", "X", "X: \x7f", " X: y", "X: y\r\n z" })
+    for (const std::string line : { "X : y", "X\x01: y", ": y", "X", "X: \x7f", " X: y", "X: y\nZ: y", "X: y\r\n z" })
         responses.push_back(chunked + "5\r\nhello\r\n0\r\n" + line + "\r\n\r\n");
     for (const std::string& response : responses) {
         CAPTURE(response);
