Read nodes with HttpClient in snipeweirctl

snipeweirctl printed responses in HTTP/2.0, with a blank in the name of a field, with two lengths, and with the length "+7".

Cause: NodeClient read with CivetWeb's client, a third reader with rules of its own.

Change: NodeClient uses HttpClient, which asks findResponseFault(). It has a limit for each wait, so the detached thread is gone. fetch() says what makes a response malformed, also if libcurl rejects it itself.

--- a/programs/snipeweirctl/NodeClient.h
+++ b/programs/snipeweirctl/NodeClient.h
@@ -9,9 +9,7 @@
 
 namespace snipeweir {
 
-/// Sends administrative requests to a node's public listener with CivetWeb's HTTP client.
-/// CivetWeb has no timeout for connecting or for a read in the middle of a body, so each request runs on its own
-/// thread, which is detached and keeps running after a timeout. Only for processes that exit after one request.
+/// Sends administrative requests to a node's public listener.
 class NodeClient {
 public:
     /// @param node Address of the public listener.
--- a/snipeweir/core/ResponseSyntax.cpp
+++ b/snipeweir/core/ResponseSyntax.cpp
@@ -159,6 +159,8 @@
         return "chunked_body";
     case ResponseFault::NoLength:
         return "no_length";
+    case ResponseFault::Undecodable:
+        return "undecodable";
     }
     return "";
 }
--- a/snipeweir/core/ResponseSyntax.h
+++ b/snipeweir/core/ResponseSyntax.h
@@ -34,6 +34,8 @@
     ChunkedBody,
     /// Neither a length nor a coding that says where the body ends.
     NoLength,
+    /// The library that reads the response rejects it.
+    Undecodable,
 };
 
 /// @return Stable snake_case name, as in logs.
--- a/snipeweir/transport/HttpClient.cpp
+++ b/snipeweir/transport/HttpClient.cpp
@@ -205,6 +205,8 @@
     return m_request.method != "HEAD" && m_head.status != 204 && m_head.status != 304;
 }
 
+std::string_view HttpTransfer::fault() const { return m_fault ? responseFaultName(*m_fault) : std::string_view(); }
+
 bool HttpTransfer::isBodyComplete() const
 {
     if (m_chunks)
@@ -273,6 +275,8 @@
     if (const CURLMsg* message = curl_multi_info_read(m_connection->multi, &left);
         message && message->msg == CURLMSG_DONE) {
         const auto end = endReason(message->data.result);
+        if (end == TransferEnd::Malformed && !m_fault)
+            refuse(ResponseFault::Undecodable);
         finish(end == TransferEnd::Complete);
         return end;
     }
@@ -357,9 +361,13 @@
 
 TransferEnd HttpClient::perform(HttpRequest request, TransferHooks hooks)
 {
-    const auto transfer = start(std::move(request), std::move(hooks));
+    return drive(*start(std::move(request), std::move(hooks)));
+}
+
+TransferEnd HttpClient::drive(HttpTransfer& transfer)
+{
     while (true) {
-        if (const auto end = transfer->step(maxStepWait))
+        if (const auto end = transfer.step(maxStepWait))
             return *end;
     }
 }
@@ -379,11 +387,15 @@
         return !isTooLarge;
     };
     const std::string peer = request.to.text();
-    const TransferEnd end = perform(std::move(request), std::move(hooks));
+    const auto transfer = start(std::move(request), std::move(hooks));
+    const TransferEnd end = drive(*transfer);
     if (isTooLarge)
         return fail(ErrorCode::TooLarge, "The response of " + peer + " is too large.");
     if (end == TransferEnd::DeadlinePassed || end == TransferEnd::NoProgress)
         return fail(ErrorCode::Timeout, "No response came from " + peer + " in time.");
+    if (end == TransferEnd::Malformed)
+        return fail(ErrorCode::Unavailable,
+            "The response of " + peer + " is malformed (" + std::string(transfer->fault()) + ").");
     if (end != TransferEnd::Complete)
         return fail(ErrorCode::Unavailable, "The request to " + peer + " failed.");
     return response;
--- a/snipeweir/transport/HttpClient.h
+++ b/snipeweir/transport/HttpClient.h
@@ -87,6 +87,9 @@
     /// @return Head of the final response; its status is 0 until the head is received.
     const HttpResponseHead& head() const { return m_head; }
 
+    /// @return Name of what makes the response invalid; empty unless the transfer ended with TransferEnd::Malformed.
+    std::string_view fault() const;
+
 private:
     friend class HttpClient;
     struct PooledConnection;
@@ -152,6 +155,7 @@
 
 private:
     friend class HttpTransfer;
+    static TransferEnd drive(HttpTransfer&);
     std::unique_ptr<HttpTransfer::PooledConnection> acquireConnection(const Address&);
     void releaseConnection(const Address&, std::unique_ptr<HttpTransfer::PooledConnection>);
 
--- a/tests/snipeweirctl/SnipeweirctlTests.cpp
+++ b/tests/snipeweirctl/SnipeweirctlTests.cpp
@@ -163,6 +163,17 @@
         okResponse("[1]"),
         okResponse("{\"a\":1"),
         "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 000 X\r\nContent-Length: 7\r\n\r\n{\"a\":1}",
+        "HTTP/1.1 2000 X\r\nContent-Length: 7\r\n\r\n{\"a\":1}",
+        "HTTP/2.0 200 OK\r\nContent-Length: 7\r\n\r\n{\"a\":1}",
+        "HTTP/1.1 200 OK\r\nX : y\r\nContent-Length: 7\r\n\r\n{\"a\":1}",
+        "HTTP/1.1 200 OK\r\nX\x01: y\r\nContent-Length: 7\r\n\r\n{\"a\":1}",
+        "HTTP/1.1 200 OK\r\nX: y\r\n Z: y\r\nContent-Length: 7\r\n\r\n{\"a\":1}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 7\r\nContent-Length: 8\r\n\r\n{\"a\":1}",
+        "HTTP/1.1 200 OK\r\nContent-Length: +7\r\n\r\n{\"a\":1}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 7\r\nTransfer-Encoding: gzip\r\n\r\n{\"a\":1}",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7x\r\n{\"a\":1}\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\n{\"a\":1}",
     };
     for (const std::string& response : responses) {
         CannedServer server(response, CannedServer::AfterResponse::Close);
