Say that a response was malformed, and why, in snipeweird

Callers were told connection_lost when a response had been refused, and no log line said more.

Change: the reason is answer_malformed, from InboundProxy and the key ledger as from OutboundProxy; the outcome stays unknown, since the call may have run, and idempotent calls are tried again as after a lost connection. The node counts snipeweir_malformed_responses_total and logs the fault, one line a second.

--- a/snipeweir/node/InboundProxy.cpp
+++ b/snipeweir/node/InboundProxy.cpp
@@ -216,6 +216,8 @@
     case TransferEnd::DeadlinePassed:
     case TransferEnd::NoProgress:
         return refuse(exchange, call.id, Outcome::Unknown, Reason::DeadlineWhileRunning);
+    case TransferEnd::Malformed:
+        return refuse(exchange, call.id, Outcome::Unknown, Reason::MalformedResponse);
     default:
         return refuse(exchange, call.id, Outcome::Unknown, Reason::ConnectionLost);
     }
@@ -395,9 +397,12 @@
         else if (forwarding.end == TransferEnd::Complete)
             m_ledger->finish(key, std::move(forwarding.storedResponse));
         else {
-            const bool isTimeout
-                = forwarding.end == TransferEnd::DeadlinePassed || forwarding.end == TransferEnd::NoProgress;
-            m_ledger->finishUnknown(key, isTimeout ? Reason::DeadlineWhileRunning : Reason::ConnectionLost);
+            Reason reason = Reason::ConnectionLost;
+            if (forwarding.end == TransferEnd::DeadlinePassed || forwarding.end == TransferEnd::NoProgress)
+                reason = Reason::DeadlineWhileRunning;
+            else if (forwarding.end == TransferEnd::Malformed)
+                reason = Reason::MalformedResponse;
+            m_ledger->finishUnknown(key, reason);
             result = m_ledger->lookUp(key);
         }
     }
--- a/snipeweir/node/Node.cpp
+++ b/snipeweir/node/Node.cpp
@@ -60,6 +60,13 @@
     , m_client(clock)
     , m_services(m_settings.vm, m_settings.dataCentre, std::move(endpointChart), clock, randomNonZero())
 {
+    m_client.onMalformedResponse = [this](const Address& from, std::string_view fault) {
+        m_metrics.count("snipeweir_malformed_responses_total");
+        const auto second = std::chrono::duration_cast<std::chrono::seconds>(m_clock.now().time_since_epoch()).count();
+        if (m_malformedResponseLoggedAt.exchange(second) == second)
+            return;
+        logger.warning("The response of " + from.text() + " is malformed (" + std::string(fault) + ").");
+    };
 }
 
 Result<void> Node::createComponents(const std::string& chartDirectory)
--- a/snipeweir/node/Node.h
+++ b/snipeweir/node/Node.h
@@ -50,6 +50,8 @@
     const Incarnation m_incarnation;
     Metrics m_metrics;
     HttpClient m_client;
+    /// Second in which a malformed response was last logged; there is one such line a second.
+    std::atomic<int64_t> m_malformedResponseLoggedAt = -1;
     DecisionLog m_decisions;
     ServiceDirectory m_services;
     std::atomic<bool> m_isDraining { false };
--- a/snipeweir/node/OutboundProxy.cpp
+++ b/snipeweir/node/OutboundProxy.cpp
@@ -276,7 +276,7 @@
             attempt.reason = call.registryEntry.isCancelled ? Reason::CancelledWhileRunning : Reason::ConnectionLost;
             break;
         default:
-            attempt.reason = Reason::ConnectionLost;
+            attempt.reason = end == TransferEnd::Malformed ? Reason::MalformedResponse : Reason::ConnectionLost;
             attempt.retryReason = RetryReason::AfterConnectionLost;
         }
         if (end == TransferEnd::Aborted || end == TransferEnd::DeadlinePassed)
