Stop all simulated nodes of a test in test_slow_nodes.py

Cause: one test kept only the first of three simulated nodes, so the listeners of the others stayed open until they were collected, and the next test of the process usually takes the same subnet.

Change: that test stops the others first. Its checks are the same.

--- a/tests/relay/test_slow_nodes.py
+++ b/tests/relay/test_slow_nodes.py
@@ -57,7 +57,9 @@
         await self.assert_followed()
 
     async def test_a_document_is_taken_late_because_the_connection_to_its_announcer_went_silent(self):
-        announcer = self.announcers[0]
+        announcer, *others = self.announcers
+        for other in others:
+            await other.stop()
         self.announcers = [announcer]
         self.fleet.store.remove(f"servers/{self.fleet.nodes[1].backend.instance}")
         announcer.read()
