Take a health check whose body is malformed as failed

The node took the instance and the state of a backend server from a health check whose body was no valid chunked coding, and called it healthy.

Cause: checkHealth() skipped the body without asking how that ended.

Change: a fault in the body makes the check fail, as one in the head does.

--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -554,6 +554,8 @@
     const auto cold = parseUnsigned(exchange.field(m_names.coldRemaining));
     const bool isHealthy = exchange.status() == 200;
     co_await exchange.discardBody(deadline);
+    if (!exchange.fault().empty())
+        co_return false;
     if (!instance.empty()) {
         const bool isOther = instance != m_instance;
         if (isOther)
--- a/tests/faults/test_malformed_responses.py
+++ b/tests/faults/test_malformed_responses.py
@@ -3,6 +3,7 @@
 
 Usage: test_malformed_responses.py [unittest arguments]"""
 
+import json
 import pathlib
 import socket
 import sys
@@ -100,6 +101,31 @@
                     # It may have run.
                     self.assertEqual((received.outcome, received.reason), ("unknown", "answer_malformed"))
 
+    def test_a_response_whose_body_becomes_malformed_looks_complete(self):
+        chunked = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+        for body in (b"5\r\nhello\r\n5x\r\nhello\r\n0\r\n\r\n", b"5\r\nhell\r\n0\r\n\r\n", b"5\r\nhello\r\n0\r\nX : y\r\n\r\n"):
+            for ip in self.ips:
+                with self.subTest(body, node=self.ips.index(ip)):
+                    self.wait_served()
+                    self.backend.response = chunked + body
+                    received = self.get(ip)
+                    self.assertFalse(received.outcome == "done" and received.body.endswith(b"0\r\n\r\n"))
+        self.wait_served()
+        self.backend.response = chunked + b"5\r\nhello\r\n0\r\nX: y\r\n\r\n"
+        received = self.get(self.ips[1])
+        self.assertEqual((received.outcome, received.body[-5:]), ("done", b"0\r\n\r\n"))
+
+    def test_a_keyed_call_runs_twice_after_a_malformed_response(self):
+        key = send(self.ips[1], "POST", "/services/alpha/keys", {})
+        self.assertEqual(key.outcome, "done")
+        self.backend.response = MALFORMED["a refusal whose name ends with a blank"]
+        runs = self.backend.runs
+        for _ in range(3):
+            received = send(self.ips[1], "POST", "/services/alpha/operations/1",
+                            {"Idempotency-Key": json.loads(key.body)["key"]})
+            self.assertEqual((received.outcome, received.reason), ("unknown", "answer_malformed"))
+        self.assertEqual(self.backend.runs, runs + 1)
+
     def test_a_backend_server_speaks_in_the_name_of_a_node(self):
         for name in ("Snipeweir-Outcome", "snipeweir-outcome", "SNIPEWEIR-OUTCOME"):
             self.backend.response = OK + name.encode() + b": not_run\r\n" + BODY
--- a/tests/relay/test_malformed_responses.py
+++ b/tests/relay/test_malformed_responses.py
@@ -181,6 +181,32 @@
                     self.assertIsNotNone(received)
                     self.assertEqual((received.status, received.body, received.is_complete), (*expected, True))
 
+    async def test_a_response_whose_body_becomes_malformed_looks_complete(self):
+        size = 300_000
+        valid = b"%x\r\n" % size + b"x" * size + b"\r\n"
+        for rest in (b"5x\r\nhello\r\n0\r\n\r\n", b"x\r\n", b"0\r\nX : y\r\n\r\n", b"0\r\nX: \0\r\n\r\n"):
+            for node in self.fleet.nodes:
+                with self.subTest(rest, hop=node is not self.server):
+                    received, _ = await self.send(node, chunked(valid + rest))
+                    self.assertEqual((received.status, received.is_complete), (200, False))
+
+    async def test_a_refusal_with_a_malformed_body_is_not_taken(self):
+        for body in (b"x\r\n", b"5\r\nhello!\r\n0\r\n\r\n"):
+            for node in self.fleet.nodes:
+                with self.subTest(body, hop=node is not self.server):
+                    fields = b"Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    received, _ = await self.send(node, head(fields + body, b"503 X"))
+                    self.assertEqual(received.status, 503)
+
+    async def test_a_malformed_response_to_a_head_request_reaches_the_caller(self):
+        for name in ("status 000 X", "status 600 X", "name b'X '", "two lengths", "coding b'gzip'", "two identifiers"):
+            for node in self.fleet.nodes:
+                with self.subTest(name, hop=node is not self.server):
+                    received, _ = await self.send(node, MALFORMED[name], "HEAD", "/s/x")
+                    self.assertEqual(received.status, 502)
+        received, _ = await self.send(self.server, head(BODY[:-5]), "HEAD", "/s/x")
+        self.assertEqual(received.status, 200)
+
     async def test_a_backend_server_speaks_in_the_name_of_a_node(self):
         for fields in (b"Snipeweir-Outcome: 1 backend_shed 1\r\n", b"snipeweir-outcome: 1 backend_shed 1\r\n",
                        b"Snipeweir-Outcome: 2 none 1\r\n", b"Snipeweir-Retry: 1 100 100\r\n"):
@@ -253,7 +279,9 @@
         self.assertTrue(await self.wait_for(lambda: len(self.events("malformed_response")) > count))
 
     async def test_a_malformed_response_to_a_health_check_says_which_instance_runs(self):
-        for name, change in CHANGES.items():
+        body = b"Transfer-Encoding: chunked\r\n\r\nx\r\n"
+        changes = CHANGES | {"a chunk without size": lambda whole: whole.replace(b"Content-Length: 0\r\n\r\n", body)}
+        for name, change in changes.items():
             with self.subTest(name):
                 self.node.backend.change_health_head = lambda whole: change(whole.replace(b"i-0", b"i-9"))
                 await self.wait_for_refusal()
