--- a/tests/core/CoreTests.cpp
+++ b/tests/core/CoreTests.cpp
@@ -3,6 +3,7 @@
 #include "snipeweir/core/Cbor.h"
 #include "snipeweir/core/LoadReport.h"
 #include "snipeweir/core/Random.h"
+#include "snipeweir/core/ResponseSyntax.h"
 #include "snipeweir/core/StateChart.h"
 
 #include <doctest/doctest.h>
@@ -79,3 +80,74 @@
     for (int i = 0; i < reasonCount; ++i)
         CHECK(reasonFromName(reasonName(static_cast<Reason>(i))) == static_cast<Reason>(i));
 }
+
+TEST_CASE("A response head is valid or refused with its fault")
+{
+    const auto fault = [](unsigned version, unsigned status, std::vector<ResponseField> fields = {},
+                           std::vector<std::string> singleFields = {}) {
+        return findResponseFault({ version, status, fields, singleFields });
+    };
+    for (unsigned version = 0; version < 100; ++version) {
+        const bool isValid = version == 10 || version == 11;
+        CHECK(fault(version, 200) == (isValid ? std::nullopt : std::optional(ResponseFault::Version)));
+    }
+    for (unsigned status = 0; status < 1000; ++status) {
+        CAPTURE(status);
+        std::optional<ResponseFault> expected;
+        if (status < 100 || status > 599)
+            expected = ResponseFault::Status;
+        else if (status == 101)
+            expected = ResponseFault::UnrequestedUpgrade;
+        CHECK(fault(11, status) == expected);
+        const bool hasNoContent = status / 100 == 1 || status == 204;
+        if (!expected && hasNoContent)
+            expected = ResponseFault::UnexpectedContent;
+        CHECK(fault(11, status, { { "Content-Length", "1" } }) == expected);
+        CHECK(fault(11, status, { { "Transfer-Encoding", "chunked" } }) == expected);
+    }
+    for (int byte = 0; byte < 256; ++byte) {
+        CAPTURE(byte);
+        const std::string text = std::string("a") + static_cast<char>(byte) + "b";
+        const bool isVisible = byte > ' ' && byte < 0x7F;
+        const bool isName
+            = isVisible && std::string_view("\"(),/:;<=>?@[\\]{}").find(static_cast<char>(byte)) == std::string::npos;
+        CHECK(fault(11, 200, { { text, "" } }) == (isName ? std::nullopt : std::optional(ResponseFault::FieldName)));
+        const bool isValue = isVisible || byte == ' ' || byte == '\t' || byte >= 0x80;
+        CHECK(fault(11, 200, { { "X", text } }) == (isValue ? std::nullopt : std::optional(ResponseFault::FieldValue)));
+    }
+    CHECK(fault(11, 200, { { "", "x" } }) == ResponseFault::FieldName);
+    CHECK(fault(11, 200, { { "content-length", "18446744073709551615" } }) == std::nullopt);
+    for (const std::string_view length : { "", " ", "-1", "+1", "1 2", "1,2", "1,", "0x1", "18446744073709551616" })
+        CHECK(fault(11, 200, { { "CONTENT-LENGTH", length } }) == ResponseFault::ContentLength);
+    CHECK(fault(11, 200, { { "Content-Length", "1, 1" }, { "content-length", "01" } }) == std::nullopt);
+    CHECK(fault(11, 200, { { "Content-Length", "1" }, { "content-length", "2" } }) == ResponseFault::ContentLength);
+    CHECK(fault(10, 200, { { "Transfer-Encoding", "chunked" } }) == ResponseFault::TransferCoding);
+    CHECK(fault(11, 200, { { "Transfer-Encoding", "chunked" }, { "Content-Length", "1" } })
+        == ResponseFault::TransferCoding);
+    CHECK(fault(11, 200, { { "ETag", "a" }, { "etag", "b" } }) == ResponseFault::RepeatedField);
+    CHECK(fault(11, 200, { { "ETag", "a" }, { "etag", "a" }, { "Vary", "a" }, { "Vary", "b" } }) == std::nullopt);
+    CHECK(fault(11, 200, { { "X", "a" }, { "x", "b" } }, { "x" }) == ResponseFault::RepeatedField);
+    CHECK(fault(11, 200, { { "X", "a" }, { "x", "b" } }) == std::nullopt);
+}
+
+TEST_CASE("A status line or a field line is split, or refused unless it ends with CR LF")
+{
+    const auto start = parseStatusLine("HTTP/1.1 599 \r\n");
+    REQUIRE(start);
+    CHECK(start->version == 11);
+    CHECK(start->status == 599);
+    for (const std::string_view line : { "", "\r\n", "HTTP/1.1 200 ", "HTTP/1.1 200 \n", "HTTP/1.1 200\r\n",
+             "HTTP/1.1 20 \r\n", "HTTP/1.1 2000\r\n", "HTTP/1.1 -20 \r\n", "HTTP/1.1 200\t\r\n", "HTTP/11 200 OK\r\n",
+             "HTTP/x.1 200 OK\r\n", "http/1.1 200 OK\r\n", "HTTP/1.1 200 a\rb\r\n" })
+        CHECK_FALSE(parseStatusLine(line));
+    const auto field = parseFieldLine("X:\t a: b \r\n");
+    REQUIRE(field);
+    CHECK(field->name == "X");
+    CHECK(field->value == "a: b");
+    for (const std::string_view line : { "", "X\r\n", "X: a", "X: a\n" })
+        CHECK_FALSE(parseFieldLine(line));
+    CHECK(parseFieldLine("X : a\r\n")->name == "X ");
+    CHECK(hasContinuedLine("X: a\r\n b\r\n"));
+    CHECK(hasContinuedLine("X: a\r\n\tb\r\n"));
+    CHECK_FALSE(hasContinuedLine("X: a\r\nY: b\r\n\r\n"));
+}
