--- a/tests/transport/HttpTests.cpp
+++ b/tests/transport/HttpTests.cpp
@@ -267,8 +267,8 @@
     responses.push_back("HTTP/1.1 204 X\r\n" + body);
     responses.push_back("HTTP/1.1 204 X\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
     responses.push_back("HTTP/1.1 103 X\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1 200 OK\r\n" + body);
-    responses.push_back(std::string("HTTP/1.1 200 OK\r\nX\0: y\r\n", 25) + body);
-    responses.push_back(std::string("HTTP/1.1 200 OK\r\nX: \0\r\n", 24) + body);
+    responses.push_back(std::string("HTTP/1.1 200 OK\r\nX\0: y\r\n", 24) + body);
+    responses.push_back(std::string("HTTP/1.1 200 OK\r\nX: \0\r\n", 23) + body);
     for (const std::string chunk :
         { "\r\nhello", "x\r\nhello", "-5\r\nhello", "+5\r\nhello", " 5\r\nhello", "0x5\r\nhello", "5 5\r\nhello",
             "5x\r\nhello", "5\nhello", "5\rhello", "5\r\nhello!", "5\r\nhell", "10000000000000005\r\nhello",
