Don't use an idle connection of HttpClient on which bytes have arrived

Callers of snipeweird could get the response to another request: a server that sent a second response after the first had it taken for that to the next request on the connection, whether it came at once or 50 ms later.

Cause: libcurl reads what is waiting as the response. Only bytes that come along with the end of the body make it close the connection.

Change: a connection is used again only if isOpenAndEmpty(), as in the relay's pool, which has had this check; it is now one function of snipeweir/core. Handles whose connection was closed are no longer kept.

Bytes that arrive between the check and the request can't be told apart: the product's own protocol has no identifier in responses of backend servers.

--- a/snipeweir/relay/Connection.cpp
+++ b/snipeweir/relay/Connection.cpp
@@ -1,5 +1,7 @@
 #include "snipeweir/relay/Connection.h"
 
+#include "snipeweir/core/IdleSocket.h"
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <climits>
@@ -10,14 +12,6 @@
 
 namespace {
 
-    /// @return Whether an idle connection is open and has received nothing; bytes would belong to no request.
-    bool isOpenAndEmpty(asio::ip::tcp::socket& socket)
-    {
-        char byte = 0;
-        const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    }
-
     /// Capacity up to which the read buffer of an idle connection is kept.
     constexpr size_t maxIdleBufferBytes = 4U << 10U;
 
@@ -81,7 +75,7 @@
         auto limit = std::min(maxIdle, m_settings.maxIdle);
         if (connection->peerIdleTimeout)
             limit = std::min(limit, *connection->peerIdleTimeout / 2);
-        if (now - connection->usedAt > limit || !isOpenAndEmpty(connection->stream.socket()))
+        if (now - connection->usedAt > limit || !isOpenAndEmpty(connection->stream.socket().native_handle()))
             continue;
         connection->isReused = true;
         co_return connection;
--- a/snipeweir/transport/HttpClient.cpp
+++ b/snipeweir/transport/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "snipeweir/transport/HttpClient.h"
 
+#include "snipeweir/core/IdleSocket.h"
 #include "snipeweir/core/IgnoreCase.h"
 
 #include <algorithm>
@@ -40,6 +41,8 @@
 struct HttpTransfer::PooledConnection {
     CURLM* multi = curl_multi_init();
     CURL* easy = curl_easy_init();
+    /// Invalid if no connection is open.
+    curl_socket_t socket = CURL_SOCKET_BAD;
     SteadyTime idleSince;
 
     PooledConnection() = default;
@@ -304,6 +307,7 @@
 void HttpTransfer::finish(bool isReusable)
 {
     m_hasFinished = true;
+    curl_easy_getinfo(m_connection->easy, CURLINFO_ACTIVESOCKET, &m_connection->socket);
     curl_multi_remove_handle(m_connection->multi, m_connection->easy);
     curl_slist_free_all(static_cast<curl_slist*>(m_headerList));
     m_headerList = nullptr;
@@ -331,15 +335,21 @@
         expired.push_back(std::move(idle.front()));
         idle.erase(idle.begin());
     }
-    if (idle.empty())
-        return std::make_unique<HttpTransfer::PooledConnection>();
-    auto connection = std::move(idle.back());
-    idle.pop_back();
-    return connection;
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        // libcurl would take bytes that have arrived for the response to the next request.
+        if (isOpenAndEmpty(connection->socket))
+            return connection;
+        expired.push_back(std::move(connection));
+    }
+    return std::make_unique<HttpTransfer::PooledConnection>();
 }
 
 void HttpClient::releaseConnection(const Address& address, std::unique_ptr<HttpTransfer::PooledConnection> connection)
 {
+    if (connection->socket == CURL_SOCKET_BAD)
+        return;
     const std::lock_guard lock(m_mutex);
     auto& idle = m_idleConnections[address];
     connection->idleSince = m_clock.now();
--- a/tests/transport/HttpTests.cpp
+++ b/tests/transport/HttpTests.cpp
@@ -80,10 +80,11 @@
 };
 
 /// Server on the test port that sends the same bytes to each request of one connection, then repeats others until the
-/// client closes the connection, or closes it itself if there are none to repeat.
+/// client closes the connection, or closes it itself if there are none to repeat. It sends the last bytes after a delay
+/// and then waits for the client.
 class RawServer {
 public:
-    RawServer(std::string first, std::string repeated)
+    RawServer(std::string first, std::string repeated, std::pair<std::chrono::milliseconds, std::string> last = {})
         : m_listener(socket(AF_INET, SOCK_STREAM, 0))
     {
         const int reuse = 1;
@@ -94,15 +95,22 @@
         inet_pton(AF_INET, "127.0.0.1", &at.sin_addr);
         REQUIRE(bind(m_listener, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0);
         REQUIRE(listen(m_listener, 5) == 0);
-        m_thread = std::thread([this, first = std::move(first), repeated = std::move(repeated)] {
-            const int connection = accept(m_listener, nullptr, nullptr);
-            std::array<char, 4096> request {};
-            if (recv(connection, request.data(), request.size(), 0) > 0
-                && send(connection, first.data(), first.size(), MSG_NOSIGNAL) >= 0) {
-                while (!repeated.empty() && send(connection, repeated.data(), repeated.size(), MSG_NOSIGNAL) > 0) { }
-            }
-            close(connection);
-        });
+        m_thread = std::thread(
+            [this, first = std::move(first), repeated = std::move(repeated), last = std::move(last)] {
+                const int connection = accept(m_listener, nullptr, nullptr);
+                std::array<char, 4096> request {};
+                if (recv(connection, request.data(), request.size(), 0) > 0
+                    && send(connection, first.data(), first.size(), MSG_NOSIGNAL) >= 0) {
+                    while (!repeated.empty() && send(connection, repeated.data(), repeated.size(), MSG_NOSIGNAL) > 0) {
+                    }
+                    if (!last.second.empty()) {
+                        std::this_thread::sleep_for(last.first);
+                        send(connection, last.second.data(), last.second.size(), MSG_NOSIGNAL);
+                        recv(connection, request.data(), request.size(), 0);
+                    }
+                }
+                close(connection);
+            });
     }
     ~RawServer()
     {
@@ -344,6 +352,22 @@
     }
 }
 
+TEST_CASE("Bytes after a response are taken for the response to the next request")
+{
+    // The server sends them with the response, or while the connection is idle.
+    for (const auto delay : { std::chrono::milliseconds(0), std::chrono::milliseconds(50) }) {
+        CAPTURE(delay.count());
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+        const RawServer server(head + "first", "", { delay, head + "other" });
+        const SystemClock clock;
+        HttpClient client(clock);
+        CHECK(performGet(client, clock, std::chrono::milliseconds(1000)) == TransferEnd::Complete);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        // The server takes no further connection.
+        CHECK(performGet(client, clock, std::chrono::milliseconds(300)) != TransferEnd::Complete);
+    }
+}
+
 TEST_CASE("Interim responses count as progress")
 {
     const TestServer server([](HttpServerExchange& exchange) {
