--- a/snipeweir/node/InboundProxy.cpp
+++ b/snipeweir/node/InboundProxy.cpp
@@ -228,7 +228,7 @@
 {
     std::vector<HttpHeader> headers;
     for (const auto& header : head.headers) {
-        if (!isHopByHopHeader(header.name) && !isProductField(header.name))
+        if (!isHopByHopHeader(header.name) && !isProductField(header.name) && !head.isForThisConnection(header.name))
             headers.push_back(header);
     }
     headers.push_back({ "Snipeweir-Outcome", "done" });
--- a/snipeweir/transport/HttpClient.cpp
+++ b/snipeweir/transport/HttpClient.cpp
@@ -4,6 +4,7 @@
 #include "snipeweir/core/IgnoreCase.h"
 
 #include <algorithm>
+#include <boost/beast/http/rfc7230.hpp>
 #include <cassert>
 #include <charconv>
 #include <curl/curl.h>
@@ -37,6 +38,14 @@
     return std::nullopt;
 }
 
+bool HttpResponseHead::isForThisConnection(std::string_view name) const
+{
+    return std::any_of(headers.begin(), headers.end(), [&](const HttpHeader& header) {
+        return equalsIgnoringCase(header.name, "Connection")
+            && boost::beast::http::token_list(header.value).exists(name);
+    });
+}
+
 /// A libcurl easy handle on its own multi handle, whose connection cache holds the connection.
 struct HttpTransfer::PooledConnection {
     CURLM* multi = curl_multi_init();
--- a/snipeweir/transport/HttpClient.h
+++ b/snipeweir/transport/HttpClient.h
@@ -47,6 +47,9 @@
     /// @param name Header name; case-insensitive.
     /// @return Value of the first header with that name; empty if absent.
     std::optional<std::string_view> header(std::string_view name) const;
+
+    /// @return Whether the response names a header as one of this connection alone, which must not be forwarded.
+    bool isForThisConnection(std::string_view name) const;
 };
 
 /// How a transfer ended.
--- a/tests/faults/fault_matrix.py
+++ b/tests/faults/fault_matrix.py
@@ -38,6 +38,7 @@
     """Response as the caller received it. Outcome "none" means that no response with an outcome arrived."""
     def __init__(self):
         self.outcome, self.reason, self.status, self.is_whole, self.seconds = "none", "none", 0, False, 0.0
+        self.fields, self.body = {}, b""
 
 
 def send(ip, method, path, headers, expected_bytes=None):
@@ -61,6 +62,7 @@
                 data += chunk
         head, _, content = data.partition(b"\r\n\r\n")
         fields = dict(line.split(": ", 1) for line in head.decode().split("\r\n")[1:] if ": " in line)
+        response.fields = fields
         response.status = int(head.split(b" ")[1]) if head.startswith(b"HTTP/1.1 ") else 0
         response.outcome, response.reason = fields.get("Snipeweir-Outcome", "none"), fields.get("Snipeweir-Reason", "none")
         response.is_whole = "Content-Length" in fields and len(content) == int(fields["Content-Length"])
--- a/tests/faults/test_malformed_responses.py
+++ b/tests/faults/test_malformed_responses.py
@@ -134,6 +134,13 @@
                     received = self.get(ip)
                     self.assertEqual((received.outcome, received.status, received.body), ("done", 200, b"hello"))
 
+    def test_a_header_for_one_connection_is_passed_on(self):
+        self.backend.response = OK + b"Connection: close, X-Hop\r\nX-Hop: y\r\nConnection: x-other\r\nX-Other: y\r\nX-End: y\r\n" + BODY
+        for ip in self.ips:
+            with self.subTest(node=self.ips.index(ip)):
+                fields = self.get(ip).fields
+                self.assertEqual([fields.get(name) for name in ("X-End", "X-Hop", "X-Other")], ["y", None, None])
+
     def test_a_malformed_response_is_not_explained(self):
         self.backend.response = MALFORMED["status 600"]
         log = pathlib.Path(self.deployment.folder.name) / f"{self.deployment.vms[0].name}-node.log"
