--- a/tests/relay/test_malformed_responses.py
+++ b/tests/relay/test_malformed_responses.py
@@ -109,6 +109,8 @@
         b"5\r\nhello\r\n0\r\nX: y\r\nZ: z\r\n\r\n")},
     "a response without content": (head(b"\r\n", b"204 No Content"), (204, b"")),
     "a response without content of length 0": (head(b"Content-Length: 0\r\n\r\n", b"204 No Content"), (204, b"")),
+    "status 304 with the length of what was not modified": (head(b"Content-Length: 5\r\n\r\n", b"304 X"), (304, b"")),
+    "status 205": (head(b"Content-Length: 0\r\n\r\n", b"205 X"), (205, b"")),
     "a type sent twice": (head(b"Content-Type: text/plain\r\nContent-Type: text/plain\r\n" + BODY), HELLO),
 }
 
