Count the length of a body once it has arrived

A caller's later requests on a connection waited for each other (four requests of 0.3 s took 1.2 s) after one response with the length 2^63-1 and a body of 300 KB had broken off; the choice of a backend server took each response for one too large for another data centre. It lasted for hundreds of responses. With 2^64-1 the size was beyond the range of its type.

Cause: writeResponse() added the length that a head claims to RouteStatistics, whether or not the body came.

Change: the sample has a size only if the response was written whole.

--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -453,15 +453,18 @@
     ++m_counters.served;
     std::string head = hop_codec::statusLine(response.status);
     hop_codec::appendFields(head, response.headers);
-    size_t bytes = response.body.size();
+    std::optional<size_t> bytes = response.body.size();
     bool isWritten = false;
     if (!response.rest) {
         isWritten = co_await connection.writeComplete(std::move(head), response.body, m_clock.now() + writeTimeout);
     } else {
-        bytes = std::max<size_t>(bytes, response.rest->contentLength().value_or(0));
+        bytes = std::max<size_t>(response.body.size(), response.rest->contentLength().value_or(0));
         isWritten = co_await connection.writeStreamed(
             std::move(head), std::move(response.body), *response.rest, call.request.deadline + writeTimeout, m_clock);
         response.rest.reset();
+        // Until the body is there its length is only a claim.
+        if (!isWritten)
+            bytes.reset();
     }
     if (response.status < 300)
         m_statistics.add(*call.route, call.request.service, response.serviceTime, response.slownessPercent, bytes);
--- a/snipeweir/relay/RouteStatistics.h
+++ b/snipeweir/relay/RouteStatistics.h
@@ -4,6 +4,7 @@
 #include "snipeweir/routes/RouteConfiguration.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -24,8 +25,9 @@
     /// @param measuredServiceTime Service time as measured, including any slowdown.
     /// @param slownessPercent Slowness of the backend server when the request started, in percent of the usual service
     /// time.
+    /// @param responseBytes Size of the body; empty if it is not known.
     void add(const Route& route, const ServiceName& service, std::chrono::microseconds measuredServiceTime,
-        uint32_t slownessPercent, size_t responseBytes)
+        uint32_t slownessPercent, std::optional<size_t> responseBytes)
     {
         constexpr double sampleWeight = 0.1;
         Entry& entry = m_entries[key(route, service)];
@@ -33,8 +35,9 @@
             = static_cast<double>(measuredServiceTime.count()) * 100 / std::max(1U, slownessPercent);
         const bool isFirst = entry.serviceTimeMicroseconds <= 0;
         entry.serviceTimeMicroseconds += (isFirst ? 1 : sampleWeight) * (serviceTime - entry.serviceTimeMicroseconds);
-        entry.responseBytes
-            += (isFirst ? 1 : sampleWeight) * (static_cast<double>(responseBytes) - entry.responseBytes);
+        if (responseBytes)
+            entry.responseBytes
+                += (isFirst ? 1 : sampleWeight) * (static_cast<double>(*responseBytes) - entry.responseBytes);
     }
 
 private:
--- a/tests/relay/test_malformed_responses.py
+++ b/tests/relay/test_malformed_responses.py
@@ -8,10 +8,11 @@
 import os
 import sys
 import tempfile
+import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from fleet import Announcer, Fleet  # noqa: E402
+from fleet import PORTS, Announcer, Fleet, read_head  # noqa: E402
 
 PROGRAM = sys.argv.pop(1) if len(sys.argv) > 1 else "build/bin/snipeweir-platform"
 OWN = b"Request-Id: {id}\r\nServer-Seal: s\r\n"
@@ -183,6 +184,23 @@
                     self.assertIsNotNone(received)
                     self.assertEqual((received.status, received.body, received.is_complete), (*expected, True))
 
+    async def test_a_length_that_the_body_does_not_have_counts_as_the_usual_size(self):
+        # Nodes hold later requests of a caller back while the responses to earlier ones could be too large to keep.
+        for length in (b"9223372036854775807", b"18446744073709551615"):
+            await self.send(self.server, head(b"Content-Length: " + length + b"\r\n\r\n" + b"x" * 300_000), "GET", "/s/x")
+        self.backend.service_time = 0.3
+        reader, writer = await asyncio.open_connection(self.server.ip, PORTS["callers"])
+        begin = time.monotonic()
+        for _ in range(4):
+            writer.write(f"GET /s/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {self.fleet.new_id()}\r\n"
+                         "Deadline-Ms: 5000\r\n\r\n".encode())
+        for _ in range(4):
+            status, fields = await read_head(reader)
+            self.assertEqual(status.split(" ")[1], "200")
+            await reader.readexactly(int(fields["content-length"]))
+        writer.close()
+        self.assertLess(time.monotonic() - begin, 0.9)
+
     async def test_a_response_whose_body_becomes_malformed_looks_complete(self):
         size = 300_000
         valid = b"%x\r\n" % size + b"x" * size + b"\r\n"
