Let the deadline pass at the calling node first in NodeRpcTests.cpp

Cause: a cancellation is sent only if the deadline passes at the calling node before the serving node has reported it, and both nodes see the same deadline. Either end is right for callers: both are told deadline_while_running.

Change: the serving node has a clock that runs at half speed, so the calling node's deadline passes first.

No product code changes.

--- a/tests/rpc/NodeRpcTests.cpp
+++ b/tests/rpc/NodeRpcTests.cpp
@@ -19,8 +19,19 @@
         + "\",\"public_port\":39420,\"internal_port\":39421,\"control_port\":39422,\"state\":\"live\"}";
 }
 
-/// Nodes "a" and "b" with a common control key, node "c" with another key, and VM list entries without a node of their
-/// own: nothing listens at "gone", "moved" has the address of "b", and "slow" sends interim responses for 3 s.
+/// Clock whose steady time runs at half speed, so that a deadline passes at another node first.
+class SlowClock final : public Clock {
+public:
+    SteadyTime now() const override { return m_start + (std::chrono::steady_clock::now() - m_start) / 2; }
+    SystemTime wallTime() const override { return std::chrono::system_clock::now(); }
+
+private:
+    const SteadyTime m_start = std::chrono::steady_clock::now();
+};
+
+/// Nodes "a" and "b", whose clock is slow, with a common control key, node "c" with another key, and VM list entries
+/// without a node of their own: nothing listens at "gone", "moved" has the address of "b", and "slow" sends interim
+/// responses for 3 s.
 class TestNodes {
 public:
     TestNodes()
@@ -47,9 +58,9 @@
                 std::this_thread::sleep_for(std::chrono::milliseconds(200));
             exchange.respond(200, {}, "{}");
         });
-        m_nodes.push_back(createNode("a", "fichas", "127.77.0.1", 'k'));
-        m_nodes.push_back(createNode("b", "informes", "127.77.0.2", 'k'));
-        m_nodes.push_back(createNode("c", "depositos", "127.77.0.3", 'x'));
+        m_nodes.push_back(createNode("a", "fichas", "127.77.0.1", 'k', m_clock));
+        m_nodes.push_back(createNode("b", "informes", "127.77.0.2", 'k', m_slowClock));
+        m_nodes.push_back(createNode("c", "depositos", "127.77.0.3", 'x', m_clock));
     }
 
     HttpResponseHead send(const std::string& ip, uint16_t port, const std::string& method, const std::string& target,
@@ -105,7 +116,7 @@
     }
 
     std::unique_ptr<Node> createNode(
-        const std::string& vm, const std::string& service, const std::string& ip, char key) const
+        const std::string& vm, const std::string& service, const std::string& ip, char key, const Clock& clock) const
     {
         NodeSettings settings;
         settings.vm = VmId(vm);
@@ -121,7 +132,7 @@
         settings.seedAddresses = { { "127.77.0.1", controlPort } };
         settings.controlKeys = { { 1, std::string(32, key) } };
         settings.calledServices = { ServiceName("informes") };
-        return handleErrors([&] { return Node::create(settings, m_clock, SNIPEWEIR_SOURCE_DIRECTORY "/charts"); },
+        return handleErrors([&] { return Node::create(settings, clock, SNIPEWEIR_SOURCE_DIRECTORY "/charts"); },
             [](const Error& error) -> std::unique_ptr<Node> {
                 FAIL(error.message);
                 return nullptr;
@@ -129,6 +140,7 @@
     }
 
     SystemClock m_clock;
+    SlowClock m_slowClock;
     HttpClient m_client { m_clock };
     std::string m_body;
     std::unique_ptr<HttpServer> m_platform;
@@ -168,7 +180,7 @@
     CHECK(nodes.send("127.77.0.2", internalPort, "POST", "/rpc").status == 401);
     CHECK(nodes.hasMetricLine("127.77.0.2", "snipeweir_rpc_authentication_refused_mac_missing 1"));
 
-    // A call past its deadline is cancelled at the serving node.
+    // A call past its deadline is cancelled at the serving node, unless that node has reported the deadline before.
     REQUIRE(nodes.waitFor([&] {
         nodes.send("127.77.0.1", publicPort, "GET", "/services/informes/x", { { "Snipeweir-Deadline-Ms", "150" } });
         nodes.send("127.77.0.1", publicPort, "GET", "/metrics");
