Test, failing, what callers see after the store was restored from a copy

Callers got 404 for a route that had been added, and requests reached backend servers that had left.

A watch that the end of a test cuts no longer prints a trace.

--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -147,7 +147,8 @@
 
 
 class Store:
-    """Simulates the platform's store: items with revisions, paged range reads and watches."""
+    """Simulates the platform's store: items with revisions, paged range reads and watches. It can be restored from a
+    copy: what was written since the copy is gone, its revisions are given out again, and the era rises."""
 
     def __init__(self, ip):
         self.ip = ip
@@ -155,6 +156,9 @@
         self.revision = 1
         self.changes = []
         self.history_start = 0
+        self.era = None  # The era that all responses name, if any.
+        self.copy = None
+        self.connections = set()
         self.mode = "ok"
         self.request_count = 0
         self.page_time = 0.0  # Seconds over which the body of a page is sent.
@@ -178,9 +182,28 @@
         self.changes.clear()
         self.history_start = self.revision
 
+    def save_copy(self):
+        """Saves the copy that restore_copy() goes back to."""
+        self.copy = (dict(self.items), self.revision, list(self.changes), self.history_start)
+
+    async def restore_copy(self, away):
+        """Resets all connections for some seconds, then serves the saved copy in the next era."""
+        self.mode = "reset"
+        for writer in list(self.connections):
+            reset(writer)
+        items, self.revision, changes, self.history_start = self.copy
+        self.items, self.changes = dict(items), list(changes)
+        self.era = (self.era or 0) + 1
+        await asyncio.sleep(away)
+        self.mode = "ok"
+
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while head := await read_head(reader):
+                if self.mode == "reset":
+                    reset(writer)
+                    return
                 self.request_count += 1
                 path, _, query = head[0].split(" ")[1].partition("?")
                 arguments = {name: urllib.parse.unquote(value)
@@ -189,7 +212,9 @@
                     await asyncio.sleep(0.05)
                 status, body = (503, {}) if self.mode == "refuse" else await self.respond(path, arguments)
                 text = json.dumps(body).encode()
-                writer.write(self.change_head(f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n".encode()))
+                era = f"Store-Era: {self.era}\r\n" if self.era is not None else ""
+                writer.write(self.change_head(
+                    f"HTTP/1.1 {status} X\r\n{era}Content-Length: {len(text)}\r\n\r\n".encode()))
                 if path == "/v1/kv-range" and self.page_time:
                     for i in range(10):
                         await asyncio.sleep(self.page_time / 10)
@@ -199,7 +224,10 @@
                 await writer.drain()
         except (OSError, ConnectionError):
             pass
+        except asyncio.CancelledError:
+            reset(writer)  # The fleet ends while a watch waits.
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     async def respond(self, path, arguments):
@@ -211,7 +239,7 @@
             return 200, {"items": items, "hasMore": len(keys) > 5, "atRev": self.revision}
         end = time.monotonic() + int(arguments["waitMs"]) / 1000
         while True:
-            if int(arguments["after"]) < self.history_start:
+            if not self.history_start <= int(arguments["after"]) <= self.revision:
                 return 410, {}
             events = [{"key": k, "revision": r} | (
                 {"isGone": True} if v is None else {"value": base64.b64encode(v).decode()})
