Log and count reads of the store that are ignored as outdated

Nothing in the logs told a store that was away from one that came back older: a node that read a list with a lower revision than the one it knew ignored it and logged source_regained.

Change: the event source_outdated (document, revision, known), logged until the document is current again, and snipeweir_outdated_reads_total. No decision changes.

--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -262,6 +262,21 @@
             { { "key", added[i].key }, { "reason", added[i].reason }, { "revision", std::to_string(revision.value) } });
 }
 
+void FleetFollower::reportIfOutdated(std::string_view document, Revision read, Revision known)
+{
+    if (read >= known) {
+        const auto found = m_outdatedDocuments.find(document);
+        if (found != m_outdatedDocuments.end())
+            m_outdatedDocuments.erase(found);
+        return;
+    }
+    ++m_counters.outdatedReads;
+    if (m_outdatedDocuments.emplace(document).second)
+        m_log.logStateChange("source_outdated",
+            { { "document", std::string(document) }, { "revision", std::to_string(read.value) },
+                { "known", std::to_string(known.value) } });
+}
+
 void FleetFollower::applyOperators(SourceDocument document)
 {
     if (document.revision < m_operators.revision)
@@ -470,6 +485,7 @@
     auto document = co_await m_source.readOperators();
     if (!document)
         co_return;
+    reportIfOutdated("operators", document->revision, m_operators.revision);
     applyOperators(std::move(*document));
     confirmOperators(asOf);
 }
@@ -580,6 +596,7 @@
     auto items = co_await m_source.readBackends();
     m_fullReadAt = items ? asOf : SteadyTime {};
     if (items) {
+        reportIfOutdated("backends", items->revision, m_registry.revision());
         m_registry.takeList(*items);
         finishRead(asOf);
         co_return;
@@ -663,6 +680,7 @@
         auto document = co_await m_source.readOperators();
         mustRead = !document;
         if (document) {
+            reportIfOutdated("operators", document->revision, m_operators.revision);
             applyOperators(std::move(*document));
             announce();
             confirmOperators(asOf);
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -11,6 +11,8 @@
 #include "snipeweir/relay/RelaySettings.h"
 #include "snipeweir/telemetry/JsonLog.h"
 
+#include <set>
+
 namespace snipeweir {
 
 /// Keeps the fleet view up to date. One node, selected by rank, reads the source and announces the versions of its
@@ -25,6 +27,8 @@
         uint64_t fetches = 0;
         /// Items of the source that could not be used, each counted once for each content.
         uint64_t skippedEntries = 0;
+        /// Responses of the source that were older than what this node knew.
+        uint64_t outdatedReads = 0;
     };
 
     /// @param incarnation Random number that identifies this run of the process.
@@ -95,6 +99,9 @@
     /// @param history Skipped items of the previous document.
     void reportSkipped(SkippedEntries& history, std::vector<SkippedEntry> skipped, Revision);
     void applyOperators(SourceDocument);
+    /// Counts a document that was read from the source and is older than the known one. Logs the first one until the
+    /// document is current again.
+    void reportIfOutdated(std::string_view document, Revision read, Revision known);
     /// Records that the view was up to date at a time.
     void markViewCurrent(SteadyTime asOf);
     void updateRank();
@@ -189,6 +196,8 @@
     SteadyTime m_continuityAskedAt {};
     bool m_isConfirmingOutage = false;
     bool m_isSourceUnavailable = false;
+    /// Documents whose last read was outdated.
+    std::set<std::string, std::less<>> m_outdatedDocuments;
     SteadyTime m_fullReadAt {};
     bool m_isReadingAll = false;
     /// Wakes followBackends() at the next read.
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -409,6 +409,7 @@
     add("source_failures_total", follower.sourceFailures);
     add("fetches_total", follower.fetches);
     add("skipped_entries_total", follower.skippedEntries);
+    add("outdated_reads_total", follower.outdatedReads);
     add("view_age_milliseconds", static_cast<uint64_t>(m_follower.age().count()));
     add("body_memory_limit_bytes", m_bodyMemory->limit());
     add("body_memory_used_bytes", m_bodyMemory->used());
