--- a/snipeweir/fleet/BackendList.h
+++ b/snipeweir/fleet/BackendList.h
@@ -2,6 +2,7 @@
 
 #include "snipeweir/fleet/BackendEntry.h"
 #include "snipeweir/fleet/SkippedEntries.h"
+#include "snipeweir/fleet/SourceVersion.h"
 
 #include <optional>
 #include <set>
@@ -10,9 +11,9 @@
 
 namespace snipeweir {
 
-/// All registered backend servers at one revision of the source.
+/// All registered backend servers at one version of the source.
 struct BackendList {
-    Revision revision;
+    SourceVersion version;
     std::vector<BackendEntry> entries;
     std::vector<SkippedEntry> skipped = {};
     /// Instances that are missing from the entries because they were removed, not because the source was unavailable.
--- a/snipeweir/fleet/BackendRegistry.cpp
+++ b/snipeweir/fleet/BackendRegistry.cpp
@@ -14,6 +14,8 @@
     /// Prefixes of the keys of items that are not to be used, in documents.
     constexpr std::string_view copyPrefix = "copy/";
     constexpr std::string_view removedPrefix = "gone/";
+    /// Prefix of the keys of items in use that the source has lost, in documents.
+    constexpr std::string_view keptPrefix = "kept/";
 
 }
 
@@ -26,6 +28,8 @@
 
 bool BackendRegistry::hidesWrites(const SourceItems& list) const
 {
+    if (list.version.era != m_version.era)
+        return false;
     std::set<std::string_view> keys;
     for (const SourceItem& item : list.items) {
         keys.insert(item.key);
@@ -33,54 +37,65 @@
         if (known == m_records.end())
             continue;
         const bool isWritten
-            = item.revision == Revision {} ? item.value != known->second.value : item.revision > m_revision;
+            = item.revision == Revision {} ? item.value != known->second.value : item.revision > m_version.revision;
         if (isWritten)
             return true;
     }
-    return std::any_of(m_records.begin(), m_records.end(),
-        [&](const auto& known) { return known.second.state != State::Removed && !keys.contains(known.first); });
+    return std::any_of(m_records.begin(), m_records.end(), [&](const auto& known) {
+        const State state = known.second.state;
+        return state != State::Removed && state != State::Kept && !keys.contains(known.first);
+    });
 }
 
 void BackendRegistry::takeList(const SourceItems& list)
 {
-    if (list.revision < m_revision)
+    if (list.version < m_version)
         return;
     std::set<std::string_view> keys;
     for (const SourceItem& item : list.items) {
         keys.insert(item.key);
-        write(item);
+        write(item, list.version.era);
     }
+    setOthersMissing(keys);
+    m_version = list.version;
+}
+
+template <typename Keys> void BackendRegistry::setOthersMissing(const Keys& keys)
+{
     for (auto& [key, record] : m_records) {
         if (record.state != State::Removed && !keys.contains(key))
-            setRemoved(key, record);
+            setMissing(key, record);
     }
     std::erase_if(
         m_records, [](const auto& known) { return known.second.state == State::Removed && !known.second.mark; });
-    m_revision = list.revision;
 }
 
 void BackendRegistry::takeChanges(const SourceChanges& changes)
 {
+    const uint64_t era = changes.version.era;
+    if (era != m_version.era)
+        return;
     for (const SourceChanges::Event& event : changes.events) {
-        if (event.item.revision <= m_revision && event.item.revision != Revision {})
+        if (event.item.revision <= m_version.revision && event.item.revision != Revision {})
             continue;
         if (event.isRemoved)
-            remove(event.item.key, event.item.revision);
+            remove(event.item.key, { event.item.revision, era });
         else
-            write(event.item);
+            write(event.item, era);
     }
-    m_revision = std::max(m_revision, changes.revision);
+    m_version = std::max(m_version, changes.version);
 }
 
-void BackendRegistry::write(const SourceItem& item)
+void BackendRegistry::write(const SourceItem& item, uint64_t era)
 {
     const auto [found, isNew] = m_records.try_emplace(item.key);
     Record& record = found->second;
     // Pages of a full read may contain later writes than its revision, which the changes since then contain again.
-    if (item.revision != Revision {} && item.revision <= record.revision)
+    const SourceVersion version(item.revision, era);
+    if (item.revision != Revision {} && version <= record.version)
         return;
-    record.revision = std::max(record.revision, item.revision);
-    if (!isNew && record.state != State::Removed && record.value == item.value)
+    record.version = std::max(record.version, version);
+    if (!isNew && record.state != State::Removed && record.state != State::Kept && record.value == item.value)
         return;
     const DecodedBackend decoded = m_decode(item);
     if (!decoded.entry) {
@@ -88,8 +103,9 @@
         return;
     }
     const BackendEntry& entry = *decoded.entry;
-    const bool isInSource = record.state == State::InUse || record.state == State::Copy;
-    const bool isNewer = !record.mark || markOf(entry) > *record.mark;
+    const bool isInSource = isUsed(record) || record.state == State::Copy;
+    const bool isWrittenAgain = record.state == State::Kept && markOf(entry) == *record.mark;
+    const bool isNewer = !record.mark || markOf(entry) > *record.mark || isWrittenAgain;
     const bool hasEnded = !isInSource && record.mark && record.hasDrained && !entry.isDraining
         && record.mark->startedAtMs == entry.startedAtMs;
     const bool isRemovedCopy = !record.mark && isCopyOfRemoved(entry);
@@ -149,19 +165,53 @@
     record.fault = std::move(fault);
 }
 
-void BackendRegistry::remove(const std::string& key, Revision revision)
+void BackendRegistry::remove(const std::string& key, const SourceVersion& version)
 {
     const auto found = m_records.find(key);
     if (found == m_records.end() || found->second.state == State::Removed
-        || (revision != Revision {} && revision <= found->second.revision))
+        || (version.revision != Revision {} && version <= found->second.version))
         return;
-    found->second.revision = revision;
+    found->second.version = version;
     if (found->second.mark)
-        setRemoved(key, found->second);
+        setMissing(key, found->second);
     else
         m_records.erase(found);
 }
 
+void BackendRegistry::setMissing(const std::string& key, Record& record)
+{
+    const bool wasWrittenInEra = record.movedAt > m_eraBegin;
+    if (isUsed(record) && !record.hasDrained && !wasWrittenInEra && isKeepingMissing())
+        record.state = State::Kept;
+    else
+        setRemoved(key, record);
+}
+
+bool BackendRegistry::expireKept(SteadyTime asOf)
+{
+    if (asOf < m_keepUntil)
+        return false;
+    bool isChanged = false;
+    for (auto& [key, record] : m_records) {
+        if (record.state != State::Kept)
+            continue;
+        setRemoved(key, record);
+        isChanged = true;
+    }
+    return isChanged;
+}
+
+size_t BackendRegistry::keptCount() const
+{
+    return static_cast<size_t>(std::count_if(
+        m_records.begin(), m_records.end(), [](const auto& known) { return known.second.state == State::Kept; }));
+}
+
+std::optional<SteadyTime> BackendRegistry::nextExpiry() const
+{
+    return keptCount() == 0 ? std::nullopt : std::optional(m_keepUntil);
+}
+
 void BackendRegistry::setPresent(Record& record, State state)
 {
     m_gone.erase(std::exchange(record.goneNumber, 0));
@@ -208,31 +258,72 @@
     m_gone.erase(oldest);
 }
 
-void BackendRegistry::takeDocument(Revision revision, const std::vector<SourceItem>& items)
+void BackendRegistry::takeDocument(const SourceVersion& version, const std::vector<SourceItem>& items)
 {
-    if (revision < m_revision)
+    if (version < m_version)
         return;
     std::set<std::string> keys;
     for (const SourceItem& item : items) {
         std::string key = item.key;
         if (key.starts_with(removedPrefix)) {
             key.erase(0, removedPrefix.size());
-            takeRemovedItem(key, item.value);
+            if (const auto gone = decodeGoneItem(item.value))
+                takeRemovedItem(key, *gone);
         } else if (key.starts_with(copyPrefix)) {
             key.erase(0, copyPrefix.size());
             takeCopiedItem(key, item);
+        } else if (key.starts_with(keptPrefix)) {
+            key.erase(0, keptPrefix.size());
+            takeKeptItem(key, item);
         } else {
             takeUsedItem(item);
         }
         keys.insert(std::move(key));
     }
-    for (auto& [key, record] : m_records) {
-        if (record.state != State::Removed && !keys.contains(key))
-            setRemoved(key, record);
+    setOthersMissing(keys);
+    m_version = version;
+}
+
+void BackendRegistry::takeLost(const std::vector<SourceItem>& items)
+{
+    if (!isKeepingMissing())
+        return;
+    for (const SourceItem& item : items) {
+        if (item.key.starts_with(removedPrefix))
+            takeLostRemoval(item.key.substr(removedPrefix.size()), decodeGoneItem(item.value));
+        else if (item.key.starts_with(keptPrefix))
+            takeLostEntry(item.key.substr(keptPrefix.size()), item, true);
+        else if (!item.key.starts_with(copyPrefix))
+            takeLostEntry(item.key, item, false);
     }
-    std::erase_if(
-        m_records, [](const auto& known) { return known.second.state == State::Removed && !known.second.mark; });
-    m_revision = revision;
+}
+
+void BackendRegistry::takeLostEntry(const std::string& key, const SourceItem& item, bool isKept)
+{
+    const SourceItem original { key, item.value };
+    const DecodedBackend decoded = m_decode(original);
+    const auto found = m_records.find(key);
+    if (!decoded.entry || (found == m_records.end() && !isKept))
+        return;
+    Record& record = m_records[key];
+    const bool isKnown = record.mark && markOf(*decoded.entry) <= *record.mark;
+    if (isKnown || (isGone(record) && !isKept))
+        return;
+    const bool isMissing = found == m_records.end() || isGone(record);
+    accept(record, original, *decoded.entry);
+    if (isMissing)
+        record.state = State::Kept;
+}
+
+void BackendRegistry::takeLostRemoval(const std::string& key, const std::optional<GoneItem>& item)
+{
+    const auto found = m_records.find(key);
+    const bool isKnown = found != m_records.end();
+    if (!item || (isKnown && found->second.mark && *found->second.mark > item->mark))
+        return;
+    GoneItem removed = *item;
+    removed.isInSource = isKnown && found->second.state != State::Removed && found->second.state != State::Kept;
+    takeRemovedItem(key, removed);
 }
 
 void BackendRegistry::takeUsedItem(const SourceItem& item)
@@ -252,6 +343,11 @@
         setReappeared(item.key, record, item.value);
         return;
     }
+    // A sender that knows nothing of the time before the source was restored may have an earlier write.
+    if (isUsed(record) && isKeepingMissing() && mark < *record.mark) {
+        record.state = State::InUse;
+        return;
+    }
     // The sender may have seen the writes between two documents, so its choice counts. The age of the increase of the
     // sequence number is not known.
     const SteadyTime movedAt = record.movedAt;
@@ -290,7 +386,22 @@
     return { std::string(removedPrefix) + key, writer.take() };
 }
 
-void BackendRegistry::takeRemovedItem(const std::string& key, const std::string& value)
+void BackendRegistry::takeKeptItem(const std::string& key, const SourceItem& item)
+{
+    const SourceItem original { key, item.value };
+    const DecodedBackend decoded = m_decode(original);
+    if (!decoded.entry)
+        return;
+    Record& record = m_records[key];
+    const bool isNewer = !record.mark || markOf(*decoded.entry) > *record.mark;
+    if (isGone(record) && !isNewer)
+        return;
+    if (isNewer)
+        accept(record, original, *decoded.entry);
+    setMissing(key, record);
+}
+
+std::optional<BackendRegistry::GoneItem> BackendRegistry::decodeGoneItem(const std::string& value)
 {
     CborReader reader(value);
     const auto startedAtMs = reader.readUnsigned();
@@ -301,20 +412,25 @@
     const auto hasDrained = reader.readUnsigned();
     const auto isRemovalConfirmed = reader.readUnsigned();
     if (!reader.isComplete())
-        return;
+        return std::nullopt;
+    return GoneItem { { *startedAtMs, *sequence }, { std::string(*ip), static_cast<uint16_t>(*port) }, *isInSource != 0,
+        *hasDrained != 0, *isRemovalConfirmed != 0 };
+}
+
+void BackendRegistry::takeRemovedItem(const std::string& key, const GoneItem& item)
+{
     Record& record = m_records[key];
-    const Mark mark { *startedAtMs, *sequence };
-    if (!record.mark || mark >= *record.mark) {
-        record.mark = mark;
-        record.hasDrained = *hasDrained != 0;
-        record.entry.address = { std::string(*ip), static_cast<uint16_t>(*port) };
+    if (!record.mark || item.mark >= *record.mark) {
+        record.mark = item.mark;
+        record.hasDrained = item.hasDrained;
+        record.entry.address = item.address;
     }
-    if (*isInSource != 0) {
+    if (item.isInSource) {
         setReappeared(key, record, {});
     } else if (record.state != State::Removed) {
         setRemoved(key, record);
     }
-    record.isRemovalConfirmed = record.isRemovalConfirmed || *isRemovalConfirmed != 0;
+    record.isRemovalConfirmed = record.isRemovalConfirmed || item.isRemovalConfirmed;
 }
 
 std::vector<SourceItem> BackendRegistry::document(const std::function<bool(const std::string& instance)>& isKept) const
@@ -325,6 +441,8 @@
             items.push_back({ key, record.value });
         else if (record.state == State::Copy)
             items.push_back({ std::string(copyPrefix) + key, record.value });
+        else if (record.state == State::Kept)
+            items.push_back({ std::string(keptPrefix) + key, record.value });
     }
     const size_t omitted = m_gone.size() - std::min(m_gone.size(), m_settings.maxRemovedInDocument);
     size_t index = 0;
@@ -381,7 +499,7 @@
     for (auto& [key, record] : m_records) {
         if (record.state == State::Copy && isConfirmed(record))
             record.state = State::InUse;
-        if (record.state != State::InUse || !isKnownService(record.entry.service))
+        if (!isUsed(record) || !isKnownService(record.entry.service))
             continue;
         const auto [found, isFirst] = holders.emplace(record.entry.address, &record);
         if (isFirst)
@@ -392,7 +510,7 @@
         loser->state = State::Copy;
     }
     for (auto& [key, record] : m_records) {
-        record.isHolder = record.state == State::InUse;
+        record.isHolder = isUsed(record);
         record.wasListed = record.wasListed || record.isHolder;
     }
 }
@@ -400,11 +518,11 @@
 BackendList BackendRegistry::list()
 {
     resolveAddresses();
-    BackendList list { m_revision, {} };
+    BackendList list { m_version, {} };
     for (const auto& [key, record] : m_records) {
         if (record.isRemovalConfirmed)
             list.removed.insert(record.entry.instance);
-        if (record.state == State::InUse)
+        if (isUsed(record))
             list.entries.push_back(record.entry);
         else if (record.state == State::Malformed)
             list.skipped.push_back({ key, record.fault, std::hash<std::string>()(record.value) });
--- a/snipeweir/fleet/FleetSource.h
+++ b/snipeweir/fleet/FleetSource.h
@@ -12,7 +12,7 @@
 
 /// A document in the encoding in which nodes forward it to each other; see encodeItems().
 struct SourceDocument {
-    Revision revision;
+    SourceVersion version;
     std::string text;
 };
 
@@ -25,11 +25,12 @@
     std::function<AsyncResult<SourceDocument>()> readOperators;
 
     /// Returns the changes of the backend servers' items since a revision. Also returns no value if the source no
-    /// longer has them.
+    /// longer has them. If the source is in another era than the one of that revision, changes may be missing.
     std::function<AsyncResult<SourceChanges>(Revision after)> readBackendChanges;
 
-    /// Waits until the operators have written something after a revision; returns false after the wait.
-    std::function<AsyncResult<bool>(Revision after, std::chrono::milliseconds wait)> watchOperators;
+    /// Waits until the operators have written something after a version, or the source is in another era; returns false
+    /// after the wait.
+    std::function<AsyncResult<bool>(SourceVersion after, std::chrono::milliseconds wait)> watchOperators;
 
     /// Decodes the item of a backend server.
     std::function<DecodedBackend(const SourceItem&)> decodeBackend;
--- a/snipeweir/fleet/FleetView.cpp
+++ b/snipeweir/fleet/FleetView.cpp
@@ -6,7 +6,7 @@
 
 bool FleetView::updateBackends(BackendList list, SteadyTime lastOutageEnd, std::optional<SteadyTime> asOf)
 {
-    if (list.revision < m_backends.revision)
+    if (list.version < m_backends.version)
         return false;
     std::sort(list.entries.begin(), list.entries.end(),
         [](const BackendEntry& a, const BackendEntry& b) { return a.instance < b.instance; });
@@ -42,9 +42,9 @@
 
 bool FleetView::updateOperatorState(const OperatorState& state)
 {
-    if (state.revision < m_operatorRevision)
+    if (state.version < m_operatorVersion)
         return false;
-    m_operatorRevision = state.revision;
+    m_operatorVersion = state.version;
     bool isChanged = m_evacuated != state.evacuated;
     m_evacuated = state.evacuated;
     if (state.configuration && (!m_routes || state.configuration->version > m_configurationVersion)) {
--- a/snipeweir/fleet/FleetView.h
+++ b/snipeweir/fleet/FleetView.h
@@ -14,16 +14,20 @@
 
 namespace snipeweir {
 
-/// Fleet configuration and evacuations set by the operators, at one revision of the source.
+/// Fleet configuration and evacuations set by the operators, at one version of the source.
 struct OperatorState {
-    Revision revision;
+    SourceVersion version;
     std::shared_ptr<const RouteConfiguration> configuration;
     std::set<DataCentreName> evacuated;
     std::vector<SkippedEntry> skipped = {};
+    /// Key of the item with the configuration; empty if there is none.
+    std::string configurationKey = {};
+    /// Keys of the items that set data centres out of service.
+    std::map<DataCentreName, std::string> evacuationKeys = {};
 };
 
 /// This node's view of the fleet: backend servers, current routes and data centres out of service. Ignores documents
-/// with an older revision than the current one, so that the view never goes back. Not safe for concurrent use.
+/// with an older version than the current one, so that the view never goes back. Not safe for concurrent use.
 class FleetView {
 public:
     /// Time from the end of an outage for which missing entries are kept. Registrations that expired while the source
@@ -61,8 +65,8 @@
     bool isMissing(const std::string& instance) const { return m_missingEntryExpiry.contains(instance); }
 
     const std::vector<BackendEntry>& backends() const { return m_backends.entries; }
-    Revision backendRevision() const { return m_backends.revision; }
-    Revision operatorRevision() const { return m_operatorRevision; }
+    SourceVersion backendVersion() const { return m_backends.version; }
+    SourceVersion operatorVersion() const { return m_operatorVersion; }
     std::shared_ptr<const RouteTable> routes() const { return m_routes; }
     bool isEvacuated(const DataCentreName& dataCentre) const { return m_evacuated.count(dataCentre) != 0; }
     const std::set<DataCentreName>& evacuated() const { return m_evacuated; }
@@ -94,7 +98,7 @@
     BackendList m_backends;
     /// Instances missing from the last list, with the times at which their entries are removed.
     std::map<std::string, SteadyTime> m_missingEntryExpiry;
-    Revision m_operatorRevision;
+    SourceVersion m_operatorVersion;
     Revision m_configurationVersion;
     std::shared_ptr<const RouteTable> m_routes;
     /// Services that the configuration names, with a policy or as the target of a route.
--- /dev/null
+++ b/snipeweir/fleet/OperatorDocument.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "snipeweir/fleet/FleetSource.h"
+
+#include <map>
+
+namespace snipeweir {
+
+/// The operators' document in force at a node. The configuration is only ever replaced by one of a higher version, so
+/// that none comes back after the source was restored from a copy. An evacuation that the source lost with it is kept
+/// until evacuationGrace after the begin of the era. Other nodes get the document in force, not that of the source.
+/// Performs no I/O. Not safe for concurrent use.
+class OperatorDocument {
+public:
+    using Decode = std::function<OperatorState(const SourceDocument&)>;
+
+    /// Time from the begin of an era within which operators write again what the source has lost.
+    static constexpr std::chrono::milliseconds evacuationGrace { 5000 };
+
+    explicit OperatorDocument(Decode decode)
+        : m_decode(std::move(decode))
+    {
+    }
+
+    /// Takes a document of the source or of another node. Of one with an earlier version than version() in the same era
+    /// only a later configuration is taken, and evacuations that the sender keeps. One of an earlier era is ignored.
+    /// @param canKeep Whether evacuations that the source lost are still kept.
+    /// @return Whether state() or digest() changed.
+    bool take(const SourceDocument&, bool canKeep);
+
+    /// Drops the evacuations that the source lost.
+    /// @return Whether there were any.
+    bool dropKept();
+
+    /// @return The data centres whose evacuation the source lost.
+    std::vector<DataCentreName> keptEvacuations() const;
+
+    const SourceVersion& version() const { return m_version; }
+
+    /// @return Hash of the document without the evacuations that are kept, which end at each node for itself.
+    uint64_t digest() const { return m_digest; }
+
+    /// @return The document for other nodes.
+    std::string text() const;
+
+    const OperatorState& state() const { return m_state; }
+
+    /// @return Version of the configuration in force; zero if there is none.
+    Revision configurationVersion() const;
+
+    /// @return Whether the configuration in force isn't the one of the last document that was taken.
+    bool isConfigurationKept() const { return m_isConfigurationKept; }
+
+private:
+    /// Items by key.
+    using Items = std::map<std::string, std::string>;
+
+    static SourceDocument documentOf(const SourceVersion&, const Items&);
+    void takeOlder(const Items& items, const OperatorState& state);
+    void takeCurrent(Items items, OperatorState state, const SourceVersion&, bool canKeep);
+    /// Keeps evacuations that the document doesn't have.
+    void keep(const Items& items, const OperatorState& state);
+    /// Brings state() and digest() up to date with the items and the evacuations that are kept.
+    void update();
+
+    Decode m_decode;
+    SourceVersion m_version;
+    /// Hash of the text that was taken last.
+    uint64_t m_takenDigest = 0;
+    uint64_t m_digest = 0;
+    Items m_items;
+    /// Evacuations that the source lost.
+    std::map<DataCentreName, SourceItem> m_kept;
+    OperatorState m_state;
+    bool m_isConfigurationKept = false;
+};
+
+}
--- a/snipeweir/fleet/SourceItems.cpp
+++ b/snipeweir/fleet/SourceItems.cpp
@@ -39,7 +39,7 @@
         else
             items.insert_or_assign(event.item.key, event.item);
     }
-    SourceItems changed { changes.revision, {} };
+    SourceItems changed { changes.version, {} };
     for (auto& [key, item] : items)
         changed.items.push_back(std::move(item));
     return changed;
--- a/snipeweir/fleet/SourceItems.h
+++ b/snipeweir/fleet/SourceItems.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "snipeweir/core/Identity.h"
+#include "snipeweir/fleet/SourceVersion.h"
 
 #include <optional>
 #include <string>
@@ -17,13 +17,13 @@
     Revision revision = {};
 };
 
-/// Items of the source at one revision.
+/// Items of the source at one version.
 struct SourceItems {
-    Revision revision;
+    SourceVersion version;
     std::vector<SourceItem> items;
 };
 
-/// Changes of items in the source since an earlier revision.
+/// Changes of items in the source since an earlier version of the same era.
 struct SourceChanges {
     struct Event {
         SourceItem item;
@@ -32,7 +32,7 @@
     };
     /// In the order of the changes.
     std::vector<Event> events;
-    Revision revision;
+    SourceVersion version;
 };
 
 /// Encodes items as a CBOR sequence of keys and values, without their revisions. Nodes forward documents in this
--- a/snipeweir/relay/CallerChoice.cpp
+++ b/snipeweir/relay/CallerChoice.cpp
@@ -94,7 +94,7 @@
         m_log.logRequest(JsonLog::Priority::Refusal, "no_choice", request.id,
             { { "service", request.service.text() }, { "usable", std::to_string(options.size()) },
                 { "asked", std::to_string(queriedIps.size()) }, { "known", std::to_string(known) },
-                { "backends_revision", std::to_string(m_view.backendRevision().value) } });
+                { "backends_revision", m_view.backendVersion().text() } });
         co_return nullptr;
     }
     // A hedge that would be late as well only wastes a slot and a part of the fleet's retry budget.
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -189,7 +189,7 @@
             { "late", call.isLate ? "true" : "false" }, { "patience_ms", std::to_string(call.callerTimeout.count()) },
             { "took_us", std::to_string(took.count()) },
             { "configuration", std::to_string(call.routes->configuration().version.value) },
-            { "backends_revision", std::to_string(m_view.backendRevision().value) } });
+            { "backends_revision", m_view.backendVersion().text() } });
 }
 
 bool CallerPath::isStillAuthenticated(Call& call, RelayRequest& request, Response& fallback)
--- a/snipeweir/relay/DocumentFetcher.cpp
+++ b/snipeweir/relay/DocumentFetcher.cpp
@@ -155,11 +155,13 @@
         co_return std::nullopt;
     ++fetch->responses;
     Fetched fetched { {}, fetch->request.version, fetch->request.readAt,
-        SourceContinuity::parse(exchange.field(continuityField)), requestedAt, m_clock.now() };
+        SourceContinuity::parse(exchange.field(continuityField)), requestedAt, m_clock.now(),
+        fetch->request.hasHistory };
     SourceDocument& document = fetched.document;
-    document.revision.value = parseUnsigned(exchange.field(revisionField)).value_or(0);
+    document.version.revision.value = parseUnsigned(exchange.field(revisionField)).value_or(0);
+    document.version.era = parseUnsigned(exchange.field(eraField)).value_or(0);
     const bool isWanted
-        = !fetch->document && exchange.status() == 200 && document.revision.value >= fetch->request.version.revision;
+        = !fetch->document && exchange.status() == 200 && document.version >= fetch->request.version.version;
     fetch->receiving += isWanted ? 1 : 0;
     std::string compressed;
     StepResult end = StepResult::More;
--- a/snipeweir/relay/DocumentFetcher.h
+++ b/snipeweir/relay/DocumentFetcher.h
@@ -14,7 +14,7 @@
 class DocumentFetcher {
 public:
     struct Request {
-        /// The document must have this version's revision or a later one.
+        /// The document must have this version of the source or a later one.
         SourceDocumentVersion version;
         /// This node's source in the distribution tree.
         DistributionTree::Source treeSource;
@@ -24,6 +24,8 @@
         std::string forwarder;
         /// Time at which the announcer read the document.
         SteadyTime readAt;
+        /// Whether the announcer knows what the documents were before the current era of the source.
+        bool hasHistory = false;
     };
 
     /// A document and what its sender said about it.
@@ -38,6 +40,8 @@
         /// Times between which the sender sent the continuity.
         SteadyTime requestedAt {};
         SteadyTime receivedAt {};
+        /// As in the request.
+        bool hasHistory = false;
     };
 
     struct Failure {
@@ -64,8 +68,9 @@
 
     /// Time limit of an attempt to fetch the document from one source.
     static constexpr std::chrono::milliseconds attemptTimeout { 1500 };
-    /// Field of the response that holds the revision of the document.
+    /// Fields of the response that hold the revision of the document, and the era if the source has eras.
     static constexpr std::string_view revisionField = "Snipeweir-Revision";
+    static constexpr std::string_view eraField = "Snipeweir-Era";
     /// Field of the response that holds the sender's SourceContinuity.
     static constexpr std::string_view continuityField = "Snipeweir-Continuity";
 
@@ -105,7 +110,7 @@
     asio::awaitable<void> runAttempt(std::shared_ptr<Fetch>, std::string ip);
     /// Waits until the document has arrived, all attempts have ended, or another source should be asked.
     asio::awaitable<void> waitForAttempts(std::shared_ptr<Fetch>);
-    /// @return The document; empty if the source did not respond in time or has only an earlier revision.
+    /// @return The document; empty if the source did not respond in time or has only an earlier version.
     asio::awaitable<std::optional<Fetched>> receive(std::shared_ptr<Fetch>, std::string ip);
 
     asio::any_io_executor m_executor;
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -39,6 +39,8 @@
     /// Log lines on skipped items for one document; the metric counts all.
     constexpr size_t maxSkippedLogged = 32;
     constexpr int compressionLevel = 3;
+    /// Minimum interval between replies to announcers that know less.
+    constexpr std::chrono::milliseconds informInterval { 200 };
     /// Nodes asked at once whether they could read the source during a gap, and the time for their replies. With a
     /// third of the fleet partitioned off at once, one of eight nodes is unaffected in all but 1 of 6,500 cases.
     constexpr size_t continuityTargets = 8;
@@ -66,6 +68,16 @@
         return compressed;
     }
 
+    /// @return Number of instances that are in the first list only.
+    size_t countDropped(const std::vector<BackendEntry>& before, const std::vector<BackendEntry>& after)
+    {
+        std::set<std::string_view> instances;
+        for (const BackendEntry& entry : after)
+            instances.insert(entry.instance);
+        return static_cast<size_t>(std::count_if(before.begin(), before.end(),
+            [&](const BackendEntry& entry) { return !instances.contains(entry.instance); }));
+    }
+
     uint64_t digestOf(const FleetView& view)
     {
         std::string text;
@@ -97,6 +109,7 @@
     , m_operatorsFetcher(executor, clock, m_pool, node.peersAddress.port, operatorsPath)
     , m_pollSchedule(SourcePollSchedule::Settings())
     , m_registry(clock, BackendRegistry::Settings(), m_source.decodeBackend)
+    , m_operators(m_source.decodeOperators)
     , m_tree(DistributionTree::Settings())
     , m_freshness(clock)
     , m_incarnation(incarnation)
@@ -113,8 +126,7 @@
     m_pollSchedule.start(clock.now(), jitter);
     m_registry.isKnownService = [this](const ServiceName& service) { return m_view.isKnownService(service); };
     m_backendsFetcher.onFetched = [this](DocumentFetcher::Fetched fetched) { takeFetched(std::move(fetched)); };
-    m_operatorsFetcher.onFetched
-        = [this](DocumentFetcher::Fetched fetched) { applyOperators(std::move(fetched.document)); };
+    m_operatorsFetcher.onFetched = [this](const DocumentFetcher::Fetched& fetched) { takeFetchedOperators(fetched); };
     // Only the operators' document is read at once; followBackends() reads the backend servers once the view is old.
     m_backendsFetcher.onFailed
         = [this](const DocumentFetcher::Failure& failure) { logFailedFetch("backends", failure); };
@@ -188,7 +200,10 @@
 
 void FleetFollower::expireMissing()
 {
-    if (!m_view.expireMissing(m_pollSchedule.lastCurrentAt()))
+    const SteadyTime currentAt = m_pollSchedule.lastCurrentAt();
+    if (m_registry.expireKept(currentAt))
+        applyBackends();
+    if (!m_view.expireMissing(currentAt))
         return;
     m_backendsVersion.digest = digestOf(m_view);
     m_compressedBackends.clear();
@@ -196,104 +211,197 @@
     onChanged();
 }
 
+void FleetFollower::expireKeptEvacuations()
+{
+    const auto begin = m_eras.begin();
+    if (!begin || m_pollSchedule.lastCurrentAt() < *begin + OperatorDocument::evacuationGrace)
+        return;
+    if (!m_operators.dropKept())
+        return;
+    m_compressedOperators.clear();
+    updateOperatorState();
+}
+
+void FleetFollower::noteEra(uint64_t era, SteadyTime seenAt)
+{
+    if (!m_eras.onEra(era, seenAt))
+        return;
+    ++m_counters.eraChanges;
+    m_hasHistory = m_backendsVersion.version.isKnown() && m_operatorsVersion.version.isKnown();
+    m_registry.setEraBegin(*m_eras.begin());
+}
+
+void FleetFollower::noteEraOf(const PeerMessage& announcement)
+{
+    const uint64_t era = std::max(announcement.backends.version.era, announcement.operators.version.era);
+    noteEra(era, m_clock.now() - announcement.age);
+    if (!announcement.eraAge)
+        return;
+    m_eras.onBegin(era, m_clock.now() - *announcement.eraAge);
+    if (m_eras.begin())
+        m_registry.setEraBegin(*m_eras.begin());
+}
+
+bool FleetFollower::lacksHistoryOf(const PeerMessage& announcement) const
+{
+    return announcement.eraAge && !m_hasHistory && isSourceCatchingUp();
+}
+
+void FleetFollower::informAnnouncer(const std::string& ip, const PeerMessage& announcement)
+{
+    if (m_eras.era() == 0 || ip != announcement.announcer || m_clock.now() - m_informedAt < informInterval)
+        return;
+    const bool lacksHistory = m_hasHistory && !announcement.eraAge && isSourceCatchingUp();
+    const bool isOutdated = announcement.backends.version.era < m_eras.era();
+    if (!lacksHistory && !isOutdated && announcement.configuration >= m_operators.configurationVersion())
+        return;
+    m_informedAt = m_clock.now();
+    m_peers.send(ip, makeAnnouncement());
+}
+
 void FleetFollower::confirmInstance(const std::string& instance)
 {
     m_registry.confirm(m_node.backendAddress, instance);
-    if (m_backendsVersion.revision != 0)
+    if (m_backendsVersion.version.isKnown())
         applyBackends();
 }
 
 void FleetFollower::takeFetched(DocumentFetcher::Fetched fetched)
 {
+    const SourceVersion version = fetched.document.version;
+    if (version.era < m_eras.era())
+        return;
+    noteEra(version.era, fetched.readAt);
     markViewCurrent(fetched.readAt);
     if (fetched.continuity)
         limitOutage(*fetched.continuity, fetched.requestedAt, fetched.receivedAt);
-    const Revision revision = fetched.document.revision;
-    if (revision < m_registry.revision()) {
+    m_hasHistory = m_hasHistory || fetched.hasHistory;
+    const bool isOlder = version < m_registry.version();
+    if (isOlder && !fetched.hasHistory) {
         expireMissing();
         return;
     }
-    m_registry.takeDocument(revision, decodeItems(fetched.document.text));
-    m_fetchedDigest = revision.value == fetched.announced.revision ? fetched.announced.digest : 0;
+    const std::vector<SourceItem> items = decodeItems(fetched.document.text);
+    if (isOlder) {
+        m_registry.takeLost(items);
+    } else {
+        m_registry.takeDocument(version, items);
+        m_fetchedDigest = version == fetched.announced.version ? fetched.announced.digest : 0;
+    }
+    m_registry.expireKept(m_pollSchedule.lastCurrentAt());
     applyBackends();
 }
 
+void FleetFollower::takeFetchedOperators(const DocumentFetcher::Fetched& fetched)
+{
+    if (fetched.document.version.era < m_eras.era())
+        return;
+    noteEra(fetched.document.version.era, fetched.readAt);
+    applyOperators(fetched.document);
+}
+
 std::optional<SourceDocument> FleetFollower::compressedDocument(std::string_view path)
 {
     const bool isBackends = path == backendsPath;
     if (!isBackends && path != operatorsPath)
         return std::nullopt;
-    const Revision revision { isBackends ? m_backendsVersion.revision : m_operators.revision.value };
-    if (revision.value == 0)
+    const SourceVersion version = isBackends ? m_backendsVersion.version : m_operators.version();
+    if (!version.isKnown())
         return std::nullopt;
     std::string& compressed = isBackends ? m_compressedBackends : m_compressedOperators;
     if (compressed.empty() && isBackends) {
         const auto isKept = [this](const std::string& instance) { return m_view.isMissing(instance); };
         compressed = compress(encodeItems(m_registry.document(isKept)));
     } else if (compressed.empty()) {
-        compressed = compress(m_operators.text);
+        compressed = compress(m_operators.text());
     }
-    return SourceDocument { revision, compressed };
+    return SourceDocument { version, compressed };
 }
 
 void FleetFollower::applyBackends()
 {
     BackendList list = m_registry.list();
-    const Revision revision = list.revision;
-    reportSkipped(m_skippedBackends, std::move(list.skipped), revision);
+    const SourceVersion version = list.version;
+    const SourceVersion versionBefore = m_view.backendVersion();
+    const std::vector<BackendEntry> before
+        = version.era == versionBefore.era ? std::vector<BackendEntry>() : m_view.backends();
+    reportSkipped(m_skippedBackends, std::move(list.skipped), version);
     const bool isChanged
         = m_view.updateBackends(std::move(list), m_outages.outageEnd(), m_pollSchedule.lastCurrentAt());
     m_compressedBackends.clear();
-    m_backendsVersion = { revision.value, digestOf(m_view) };
+    m_backendsVersion = { version, digestOf(m_view) };
+    if (version.era != versionBefore.era && versionBefore.isKnown())
+        logEraChange("backends", versionBefore, version, std::to_string(m_registry.keptCount()),
+            countDropped(before, m_view.backends()));
     if (!isChanged)
         return;
     m_log.logStateChange("backends_changed",
-        { { "revision", std::to_string(revision.value) }, { "entries", std::to_string(m_view.backends().size()) } });
+        { { "revision", version.text() }, { "entries", std::to_string(m_view.backends().size()) } });
     updateRank();
     onChanged();
 }
 
-void FleetFollower::reportSkipped(SkippedEntries& history, std::vector<SkippedEntry> skipped, Revision revision)
+void FleetFollower::logEraChange(std::string_view document, const SourceVersion& before, const SourceVersion& version,
+    const std::string& kept, size_t dropped)
+{
+    m_log.logStateChange("source_era_changed",
+        { { "document", std::string(document) }, { "before", before.text() }, { "version", version.text() },
+            { "kept", kept }, { "dropped", std::to_string(dropped) } });
+}
+
+void FleetFollower::reportSkipped(
+    SkippedEntries& history, std::vector<SkippedEntry> skipped, const SourceVersion& version)
 {
     const std::vector<SkippedEntry> added = history.update(std::move(skipped));
     m_counters.skippedEntries += added.size();
     for (size_t i = 0; i < std::min(added.size(), maxSkippedLogged); ++i)
         m_log.logStateChange("entry_skipped",
-            { { "key", added[i].key }, { "reason", added[i].reason }, { "revision", std::to_string(revision.value) } });
+            { { "key", added[i].key }, { "reason", added[i].reason }, { "revision", version.text() } });
 }
 
-void FleetFollower::reportIfOutdated(std::string_view document, Revision read, Revision known)
+bool FleetFollower::checkRead(std::string_view document, const SourceVersion& read, const SourceVersion& known)
 {
-    if (read >= known) {
+    const bool isEarlierEra = read.era < m_eras.era();
+    if (read >= known && !isEarlierEra) {
         const auto found = m_outdatedDocuments.find(document);
         if (found != m_outdatedDocuments.end())
             m_outdatedDocuments.erase(found);
-        return;
+        return true;
     }
     ++m_counters.outdatedReads;
     if (m_outdatedDocuments.emplace(document).second)
         m_log.logStateChange("source_outdated",
-            { { "document", std::string(document) }, { "revision", std::to_string(read.value) },
-                { "known", std::to_string(known.value) } });
+            { { "document", std::string(document) }, { "revision", read.text() }, { "known", known.text() } });
+    return !isEarlierEra;
+}
+
+void FleetFollower::applyOperators(const SourceDocument& document)
+{
+    const OperatorState before = m_operators.state();
+    const bool isChanged = m_operators.take(document, isSourceCatchingUp());
+    m_operatorsVersion = { m_operators.version(), m_operators.digest() };
+    m_freshness.onDocument(m_operators.digest());
+    const OperatorState& state = m_operators.state();
+    if (before.version.isKnown() && state.version.era != before.version.era) {
+        std::string kept;
+        if (m_operators.isConfigurationKept())
+            kept = "configuration " + std::to_string(state.configuration->version.value);
+        for (const DataCentreName& dataCentre : m_operators.keptEvacuations())
+            kept.append(kept.empty() ? "" : ", ").append("evacuation ").append(dataCentre.text());
+        const auto dropped = std::count_if(before.evacuated.begin(), before.evacuated.end(),
+            [&](const DataCentreName& dataCentre) { return !state.evacuated.contains(dataCentre); });
+        logEraChange("operators", before.version, state.version, kept, static_cast<size_t>(dropped));
+    }
+    if (!isChanged)
+        return;
+    m_compressedOperators.clear();
+    reportSkipped(m_skippedOperatorItems, state.skipped, state.version);
+    updateOperatorState();
 }
 
-void FleetFollower::applyOperators(SourceDocument document)
+void FleetFollower::updateOperatorState()
 {
-    if (document.revision < m_operators.revision)
-        return;
-    const uint64_t digest = hashOf(document.text);
-    const bool isSame = digest == m_operatorsVersion.digest;
-    m_operatorsVersion = { document.revision.value, digest };
-    m_freshness.onDocument(digest);
-    m_operators = std::move(document);
-    if (!isSame)
-        m_compressedOperators.clear();
-    if (isSame)
-        return;
-    OperatorState state = m_source.decodeOperators(m_operators);
-    state.revision = m_operators.revision;
-    reportSkipped(m_skippedOperatorItems, std::move(state.skipped), state.revision);
-    if (!m_view.updateOperatorState(state))
+    if (!m_view.updateOperatorState(m_operators.state()))
         return;
     std::string evacuated;
     for (const DataCentreName& dataCentre : m_view.evacuated())
@@ -302,11 +410,11 @@
     const auto organisations = routes ? routes->configuration().organisations : nullptr;
     m_log.logStateChange("configuration_taken",
         { { "version", std::to_string(routes ? routes->configuration().version.value : 0) },
-            { "revision", std::to_string(m_operators.revision.value) }, { "evacuated", evacuated },
+            { "revision", m_operators.version().text() }, { "evacuated", evacuated },
             { "organisations", std::to_string(organisations ? organisations->organisationCount() : 0) },
             { "keys", std::to_string(organisations ? organisations->keyCount() : 0) } });
     // Entries of a service that the configuration now names compete for their addresses.
-    if (m_backendsVersion.revision != 0)
+    if (m_backendsVersion.version.isKnown())
         applyBackends();
     onChanged();
 }
@@ -356,6 +464,9 @@
     message.backends = m_backendsVersion;
     message.operators = m_operatorsVersion;
     message.age = age();
+    message.configuration = m_operators.configurationVersion();
+    if (m_hasHistory && m_eras.begin())
+        message.eraAge = std::chrono::ceil<std::chrono::milliseconds>(m_clock.now() - *m_eras.begin());
     message.announcer = m_node.peersAddress.ip;
     message.incarnation = m_incarnation;
     message.sequence = ++m_sequence;
@@ -381,7 +492,7 @@
 void FleetFollower::announceAttempt()
 {
     // A node without documents has nothing to say that others could rely on.
-    if (m_backendsVersion.revision != 0 && m_operatorsVersion.revision != 0)
+    if (m_backendsVersion.version.isKnown() && m_operatorsVersion.version.isKnown())
         announce();
 }
 
@@ -412,7 +523,7 @@
     if (m_subscribers.size() >= maxSubscribers && !m_subscribers.contains(ip))
         return;
     m_subscribers[ip] = m_clock.now() + subscriptionLifetime;
-    if (m_operatorsVersion.revision != 0)
+    if (m_operatorsVersion.version.isKnown())
         m_peers.send(ip, makeAnnouncement());
     if (const auto confirmation = makeConfirmation())
         m_peers.send(ip, *confirmation);
@@ -450,23 +561,35 @@
         return;
     m_lastAnnouncer = message.announcer;
     m_pollSchedule.onReaderHeard(m_clock.now());
-    const bool needsBackends = message.backends.revision > m_backendsVersion.revision
+    noteEraOf(message);
+    informAnnouncer(ip, message);
+    if (message.backends.version.era < m_eras.era())
+        return;
+    const bool lacksHistory = lacksHistoryOf(message);
+    const bool hasNewBackends = message.backends.version > m_backendsVersion.version
         && message.backends.digest != m_backendsVersion.digest && message.backends.digest != m_fetchedDigest;
-    const bool needsOperators = message.operators.revision > m_operatorsVersion.revision
+    const bool hasNewOperators = message.operators.version > m_operatorsVersion.version
         && message.operators.digest != m_operatorsVersion.digest;
+    const bool hasLaterConfiguration = message.operators.version.era >= m_operatorsVersion.version.era
+        && message.configuration > m_operators.configurationVersion();
     const SteadyTime readAt = m_clock.now() - message.age;
-    if (!needsBackends && message.backends.revision >= m_backendsVersion.revision) {
+    if (!hasNewBackends && message.backends.version >= m_backendsVersion.version) {
         markViewCurrent(readAt);
         expireMissing();
+        if (!hasNewOperators)
+            expireKeptEvacuations();
     }
-    const DistributionTree::Source source = m_tree.documentSource(message.announcer, m_node.peersAddress.ip);
-    if (needsBackends) {
+    DistributionTree::Source source = m_tree.documentSource(message.announcer, m_node.peersAddress.ip);
+    // Other nodes than the announcer may have no history either.
+    if (lacksHistory)
+        source = { message.announcer };
+    if (hasNewBackends || lacksHistory) {
         ++m_counters.fetches;
-        m_backendsFetcher.fetch({ message.backends, source, message.announcer, ip, readAt });
+        m_backendsFetcher.fetch({ message.backends, source, message.announcer, ip, readAt, lacksHistory });
     }
-    if (needsOperators) {
+    if (hasNewOperators || hasLaterConfiguration || lacksHistory) {
         ++m_counters.fetches;
-        m_operatorsFetcher.fetch({ message.operators, source, message.announcer, ip, readAt });
+        m_operatorsFetcher.fetch({ message.operators, source, message.announcer, ip, readAt, lacksHistory });
     }
 }
 
@@ -483,13 +606,19 @@
     const SteadyTime asOf = m_clock.now();
     ++m_counters.sourceReads;
     auto document = co_await m_source.readOperators();
-    if (!document)
+    if (!document || !checkRead("operators", document->version, m_operators.version()))
         co_return;
-    reportIfOutdated("operators", document->revision, m_operators.revision);
-    applyOperators(std::move(*document));
+    noteEra(document->version.era, m_clock.now());
+    applyOperators(*document);
     confirmOperators(asOf);
 }
 
+asio::awaitable<void> FleetFollower::readOperatorsOfNewEra()
+{
+    co_await readOperatorsOnce();
+    announce();
+}
+
 bool FleetFollower::hasOrganisations() const
 {
     const auto routes = m_view.routes();
@@ -522,11 +651,11 @@
     m_isCheckingOperators = true;
     m_operatorsCheckedAt = m_clock.now();
     const SteadyTime asOf = m_operatorsCheckedAt;
-    const Revision known = m_operators.revision;
+    const SourceVersion known = m_operators.version();
     const uint64_t knownDigest = m_operatorsVersion.digest;
     ++m_counters.sourceReads;
     const std::optional<bool> hasChanged = co_await m_source.watchOperators(known, minWatchDuration);
-    const bool wasReadMeanwhile = m_operators.revision != known;
+    const bool wasReadMeanwhile = m_operators.version() != known;
     if (hasChanged && !*hasChanged && !wasReadMeanwhile)
         confirmOperators(asOf);
     else if (!wasReadMeanwhile)
@@ -558,9 +687,10 @@
         SteadyTime next = m_pollSchedule.nextRead();
         // Missing entries are removed once the view was current after their grace period, so the reading node reads
         // then.
-        const std::optional<SteadyTime> expiry = m_view.nextExpiry();
-        if (expiry && isReader() && *expiry > m_readStartedAt)
-            next = std::min(next, *expiry);
+        for (const std::optional<SteadyTime> expiry : { m_view.nextExpiry(), m_registry.nextExpiry() }) {
+            if (expiry && isReader() && *expiry > m_readStartedAt)
+                next = std::min(next, *expiry);
+        }
         if (next > m_clock.now()) {
             m_backendsTimer.expires_at(next);
             co_await m_backendsTimer.async_wait(asTuple);
@@ -574,12 +704,13 @@
 {
     const SteadyTime asOf = m_clock.now();
     m_readStartedAt = asOf;
-    const bool hasDocument = m_backendsVersion.revision != 0;
+    const uint64_t era = m_registry.version().era;
+    const bool hasDocument = m_backendsVersion.version.isKnown() && era == m_eras.era();
     // An incremental read takes one call, a full read one call for each page.
     if (hasDocument) {
         ++m_counters.sourceReads;
-        const auto changes = co_await m_source.readBackendChanges(m_registry.revision());
-        if (changes) {
+        const auto changes = co_await m_source.readBackendChanges(m_registry.version().revision);
+        if (changes && changes->version.era == m_registry.version().era && changes->version.era == m_eras.era()) {
             m_registry.takeChanges(*changes);
             finishRead(asOf);
             // A full read hides writes, so it follows the changes as closely as possible.
@@ -595,8 +726,8 @@
     ++m_counters.sourceReads;
     auto items = co_await m_source.readBackends();
     m_fullReadAt = items ? asOf : SteadyTime {};
-    if (items) {
-        reportIfOutdated("backends", items->revision, m_registry.revision());
+    if (items && checkRead("backends", items->version, m_registry.version())) {
+        noteEra(items->version.era, m_clock.now());
         m_registry.takeList(*items);
         finishRead(asOf);
         co_return;
@@ -620,11 +751,15 @@
 
 asio::awaitable<bool> FleetFollower::takeFullRead(SourceItems items)
 {
+    if (items.version.era < m_eras.era())
+        co_return false;
+    noteEra(items.version.era, m_clock.now());
     // Incremental reads may have gone on meanwhile, so the list may be older or newer than the registry.
-    if (items.revision < m_registry.revision() || m_registry.hidesWrites(items)) {
+    if (items.version < m_registry.version() || m_registry.hidesWrites(items)) {
         ++m_counters.sourceReads;
-        const auto changes = co_await m_source.readBackendChanges(std::min(items.revision, m_registry.revision()));
-        if (!changes)
+        const SourceVersion since = std::min(items.version, m_registry.version());
+        const auto changes = co_await m_source.readBackendChanges(since.revision);
+        if (!changes || changes->version.era != since.era || items.version.era != m_eras.era())
             co_return false;
         m_registry.takeChanges(*changes);
         items = applyChanges(std::move(items), *changes);
@@ -647,11 +782,16 @@
     m_pollSchedule.onReadSucceeded();
     markViewCurrent(asOf);
     m_fetchedDigest = 0;
+    m_registry.expireKept(asOf);
     applyBackends();
+    expireKeptEvacuations();
     if (!wasReader)
         m_operatorTimer.cancel();
     announce();
     startOperatorsCheck();
+    // The watch on the operators' document may not have noticed yet.
+    if (m_operators.version().isKnown() && m_operators.version().era < m_eras.era())
+        asio::co_spawn(m_executor, readOperatorsOfNewEra(), asio::detached);
 }
 
 asio::awaitable<void> FleetFollower::followOperators()
@@ -669,7 +809,7 @@
         std::optional<bool> hasChanged;
         if (!mustRead) {
             ++m_counters.sourceReads;
-            hasChanged = co_await m_source.watchOperators(m_operators.revision, operatorsWatchDuration);
+            hasChanged = co_await m_source.watchOperators(m_operators.version(), operatorsWatchDuration);
             // A watch without an event needs no read, unless several in a row may have missed one.
             if (hasChanged && !*hasChanged && ++emptyWatches < maxEmptyWatches)
                 continue;
@@ -678,10 +818,12 @@
         ++m_counters.sourceReads;
         const SteadyTime asOf = m_clock.now();
         auto document = co_await m_source.readOperators();
+        if (document && !checkRead("operators", document->version, m_operators.version()))
+            document.reset();
         mustRead = !document;
         if (document) {
-            reportIfOutdated("operators", document->revision, m_operators.revision);
-            applyOperators(std::move(*document));
+            noteEra(document->version.era, m_clock.now());
+            applyOperators(*document);
             announce();
             confirmOperators(asOf);
         }
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -2,7 +2,9 @@
 
 #include "snipeweir/fleet/BackendRegistry.h"
 #include "snipeweir/fleet/DistributionTree.h"
+#include "snipeweir/fleet/EraTracker.h"
 #include "snipeweir/fleet/FleetSource.h"
+#include "snipeweir/fleet/OperatorDocument.h"
 #include "snipeweir/fleet/OutageTracker.h"
 #include "snipeweir/fleet/SourcePollSchedule.h"
 #include "snipeweir/organisations/ConfigurationFreshness.h"
@@ -29,6 +31,8 @@
         uint64_t skippedEntries = 0;
         /// Responses of the source that were older than what this node knew.
         uint64_t outdatedReads = 0;
+        /// Changes to a later era of the source, which was restored from a copy then.
+        uint64_t eraChanges = 0;
     };
 
     /// @param incarnation Random number that identifies this run of the process.
@@ -66,6 +70,9 @@
     /// @return Time since the view of the backend servers was last known to be up to date.
     std::chrono::milliseconds age() const;
 
+    /// @return The known era of the source.
+    uint64_t era() const { return m_eras.era(); }
+
     /// @return Whether the configuration in force is known to be current. Confirmed only if it has organisations.
     ConfigurationFreshness& freshness() { return m_freshness; }
 
@@ -89,7 +96,7 @@
     void takeFetched(DocumentFetcher::Fetched);
     /// Brings the view up to date with the registry.
     void applyBackends();
-    /// Removes missing entries from the view if it was current after their grace period.
+    /// Removes missing entries and those that the source lost if the view was current after their grace period.
     void expireMissing();
     /// Asks other nodes whether they could read the source during the gap that has just ended in this node's view.
     asio::awaitable<void> confirmOutage();
@@ -97,11 +104,31 @@
     void limitOutage(const SourceContinuity&, SteadyTime requestedAt, SteadyTime receivedAt);
     /// Logs and counts the items of a document that are skipped and were not in the previous document.
     /// @param history Skipped items of the previous document.
-    void reportSkipped(SkippedEntries& history, std::vector<SkippedEntry> skipped, Revision);
-    void applyOperators(SourceDocument);
+    void reportSkipped(SkippedEntries& history, std::vector<SkippedEntry> skipped, const SourceVersion&);
+    void takeFetchedOperators(const DocumentFetcher::Fetched&);
+    void applyOperators(const SourceDocument&);
     /// Counts a document that was read from the source and is older than the known one. Logs the first one until the
     /// document is current again.
-    void reportIfOutdated(std::string_view document, Revision read, Revision known);
+    /// @return Whether it may be used; a document of an earlier era may not.
+    bool checkRead(std::string_view document, const SourceVersion& read, const SourceVersion& known);
+    /// Records an era that the source or another node named.
+    /// @param seenAt Time at which the source was in that era.
+    void noteEra(uint64_t era, SteadyTime seenAt);
+    void noteEraOf(const PeerMessage& announcement);
+    /// @return Whether this node should fetch the documents of an announcer, whatever their versions, because that one
+    /// knows what was before the source was restored from a copy.
+    bool lacksHistoryOf(const PeerMessage& announcement) const;
+    /// Replies to an announcer that lacks what this node knows from before the source was restored.
+    void informAnnouncer(const std::string& ip, const PeerMessage& announcement);
+    /// @return Whether operators and backend servers may still be writing again what the source lost.
+    bool isSourceCatchingUp() const { return m_eras.isWithin(OperatorDocument::evacuationGrace, m_clock.now()); }
+    /// Drops the evacuations that the source lost, if the view was current when their time was over.
+    void expireKeptEvacuations();
+    /// Logs what this node kept and dropped of a document when it took one of a later era.
+    void logEraChange(std::string_view document, const SourceVersion& before, const SourceVersion&,
+        const std::string& kept, size_t dropped);
+    /// Brings the view up to date with the operators' document.
+    void updateOperatorState();
     /// Records that the view was up to date at a time.
     void markViewCurrent(SteadyTime asOf);
     void updateRank();
@@ -144,6 +171,8 @@
     void logFailedFetch(std::string_view document, const DocumentFetcher::Failure&);
     /// Reads the operators' document from the source, after no node gave it.
     asio::awaitable<void> readOperatorsOnce();
+    /// Reads and announces the operators' document, which the watch may not do before its end.
+    asio::awaitable<void> readOperatorsOfNewEra();
 
     asio::any_io_executor m_executor;
     const Clock& m_clock;
@@ -162,7 +191,12 @@
     SkippedEntries m_skippedOperatorItems;
     BackendRegistry m_registry;
     OutageTracker m_outages;
-    SourceDocument m_operators;
+    EraTracker m_eras;
+    /// Whether this node knows, itself or from another node, what the source's documents were before the current era.
+    bool m_hasHistory = false;
+    OperatorDocument m_operators;
+    /// Time of the last reply to an announcer that knew less.
+    SteadyTime m_informedAt {};
     /// The documents' texts compressed by zstd, cached for other nodes; empty until a node fetches the document.
     std::string m_compressedBackends;
     std::string m_compressedOperators;
--- a/snipeweir/relay/PeerMessage.cpp
+++ b/snipeweir/relay/PeerMessage.cpp
@@ -83,7 +83,7 @@
     SourceDocumentVersion readVersion(CborReader& reader)
     {
         SourceDocumentVersion version;
-        version.revision = reader.readUnsigned().value_or(0);
+        version.version.revision.value = reader.readUnsigned().value_or(0);
         version.digest = reader.readUnsigned().value_or(0);
         return version;
     }
@@ -102,6 +102,28 @@
         message.hopsLeft = static_cast<uint32_t>(reader.readUnsigned().value_or(0));
     }
 
+    void writeEras(CborWriter& writer, const PeerMessage& message)
+    {
+        if (message.backends.version.era == 0 && message.operators.version.era == 0)
+            return;
+        writer.writeUnsigned(message.backends.version.era).writeUnsigned(message.operators.version.era);
+        writer.writeUnsigned(message.configuration.value);
+        if (message.eraAge)
+            writer.writeUnsigned(static_cast<uint64_t>(message.eraAge->count()));
+    }
+
+    void readEras(CborReader& reader, PeerMessage& message)
+    {
+        if (reader.isComplete())
+            return;
+        message.backends.version.era = reader.readUnsigned().value_or(0);
+        message.operators.version.era = reader.readUnsigned().value_or(0);
+        message.configuration.value = reader.readUnsigned().value_or(0);
+        if (reader.isComplete())
+            return;
+        message.eraAge = std::chrono::milliseconds(std::min(reader.readUnsigned().value_or(0), maxAgeMs));
+    }
+
 }
 
 std::string PeerMessage::encode() const
@@ -117,11 +139,12 @@
         writeLoad(writer, load);
         break;
     case Kind::Announcement:
-        writer.writeUnsigned(backends.revision).writeUnsigned(backends.digest);
-        writer.writeUnsigned(operators.revision).writeUnsigned(operators.digest);
+        writer.writeUnsigned(backends.version.revision.value).writeUnsigned(backends.digest);
+        writer.writeUnsigned(operators.version.revision.value).writeUnsigned(operators.digest);
         writer.writeUnsigned(static_cast<uint64_t>(age.count()));
         writer.writeText(announcer).writeUnsigned(incarnation).writeUnsigned(sequence);
         writer.writeUnsigned(tree).writeUnsigned(hopsLeft);
+        writeEras(writer, *this);
         break;
     case Kind::Subscription:
         break;
@@ -165,6 +188,7 @@
         message.backends = readVersion(reader);
         message.operators = readVersion(reader);
         readAnnouncer(reader, message);
+        readEras(reader, message);
         break;
     case static_cast<uint64_t>(Kind::Subscription):
         message.kind = Kind::Subscription;
--- a/snipeweir/relay/PeerMessage.h
+++ b/snipeweir/relay/PeerMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipeweir/fleet/SourceContinuity.h"
+#include "snipeweir/fleet/SourceVersion.h"
 #include "snipeweir/organisations/QuotaMessage.h"
 #include "snipeweir/placing/NodeLoad.h"
 
@@ -12,8 +13,8 @@
 
 /// Version of one of the fleet's documents at a node.
 struct SourceDocumentVersion {
-    /// Revision of the source when the document was read.
-    uint64_t revision = 0;
+    /// Version of the source when the document was read.
+    SourceVersion version;
     /// Hash of the content that affects decisions. A node with the same digest need not fetch the document.
     uint64_t digest = 0;
 };
@@ -54,6 +55,10 @@
     QuotaMessage quota;
 
     // Fields of announcements.
+    /// Version of the configuration in force at the announcer, and the time since the era of the source began if it
+    /// knows what was before. Only sent if the source has eras; nodes of earlier versions drop such announcements.
+    Revision configuration;
+    std::optional<std::chrono::milliseconds> eraAge;
     /// IP address of the node that sent the announcement first and holds the documents.
     std::string announcer;
     /// Incarnation of the announcer, a random number for each run of its process, and sequence number of the
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -198,7 +198,12 @@
         if (const auto document = m_follower.compressedDocument(target)) {
             std::string head = hop_codec::statusLine(200);
             head.append(DocumentFetcher::revisionField).append(": ");
-            head.append(std::to_string(document->revision.value)).append("\r\n");
+            head.append(std::to_string(document->version.revision.value)).append("\r\n");
+            if (document->version.era != 0)
+                head.append(DocumentFetcher::eraField)
+                    .append(": ")
+                    .append(std::to_string(document->version.era))
+                    .append("\r\n");
             head.append(DocumentFetcher::continuityField).append(": ");
             head.append(m_follower.continuity().text()).append("\r\n");
             co_await connection.writeComplete(std::move(head), document->text, m_clock.now() + peerWriteTimeout);
@@ -410,6 +415,8 @@
     add("fetches_total", follower.fetches);
     add("skipped_entries_total", follower.skippedEntries);
     add("outdated_reads_total", follower.outdatedReads);
+    add("source_era", m_follower.era());
+    add("source_era_changes_total", follower.eraChanges);
     add("view_age_milliseconds", static_cast<uint64_t>(m_follower.age().count()));
     add("body_memory_limit_bytes", m_bodyMemory->limit());
     add("body_memory_used_bytes", m_bodyMemory->used());
--- a/snipeweir/relay/ServerPath.cpp
+++ b/snipeweir/relay/ServerPath.cpp
@@ -79,7 +79,7 @@
     if (reason != m_gate.closedReason())
         m_log.logStateChange("server_gate",
             { { "reason", std::string(reasonName(reason)) }, { "instance", entry ? entry->instance : std::string() },
-                { "revision", std::to_string(m_view.backendRevision().value) } });
+                { "revision", m_view.backendVersion().text() } });
     m_gate.setClosed(reason);
     advanceGate();
 }
--- a/tests/fleet/BackendRegistryTests.cpp
+++ b/tests/fleet/BackendRegistryTests.cpp
@@ -51,12 +51,12 @@
     void putValue(const std::string& key, const std::string& value)
     {
         ++revision;
-        registry.takeChanges({ { { { key, value, { revision } } } }, { revision } });
+        registry.takeChanges({ { { { key, value, { revision } } } }, Revision { revision } });
     }
     void remove(const std::string& key)
     {
         ++revision;
-        registry.takeChanges({ { { { key, "", { revision } }, true } }, { revision } });
+        registry.takeChanges({ { { { key, "", { revision } }, true } }, Revision { revision } });
     }
     /// Instances in use, in order and separated by spaces; those that drain have an asterisk.
     std::vector<SourceItem> document() const
@@ -110,7 +110,8 @@
 {
     for (const Written& copy : { Written { "10.0.0.1", 9, 1000 }, { "10.0.0.1", 7, 1000 }, { "10.0.0.1", 7, 10 } }) {
         Source source;
-        source.registry.takeList({ { 1 }, { { "bak", text(copy) }, { "server", text({ "10.0.0.1", 7, 50 }) } } });
+        source.registry.takeList(
+            { Revision { 1 }, { { "bak", text(copy) }, { "server", text({ "10.0.0.1", 7, 50 }) } } });
         source.used();
         source.clock.advance(heartbeat);
         source.put("server", { "10.0.0.1", 7, 51 });
@@ -207,15 +208,17 @@
     const std::string value = text({ "10.0.0.1", 7, 50 });
     SUBCASE("of the changes")
     {
-        source.registry.takeChanges({ { { { "server", "", { 3 } }, true }, { { "server", value, { 4 } } } }, { 4 } });
+        source.registry.takeChanges(
+            { { { { "server", "", { 3 } }, true }, { { "server", value, { 4 } } } }, Revision { 4 } });
     }
     SUBCASE("of all entries, which asks for the changes")
     {
-        const SourceItems list { { 4 }, { { "server", value, { 4 } } } };
-        CHECK(source.registry.hidesWrites({ { 4 }, {} }));
-        CHECK_FALSE(source.registry.hidesWrites({ { 4 }, { { "server", value, { 2 } } } }));
+        const SourceItems list { Revision { 4 }, { { "server", value, { 4 } } } };
+        CHECK(source.registry.hidesWrites({ Revision { 4 }, {} }));
+        CHECK_FALSE(source.registry.hidesWrites({ Revision { 4 }, { { "server", value, { 2 } } } }));
         CHECK(source.registry.hidesWrites(list));
-        source.registry.takeChanges({ { { { "server", "", { 3 } }, true }, { { "server", value, { 4 } } } }, { 4 } });
+        source.registry.takeChanges(
+            { { { { "server", "", { 3 } }, true }, { { "server", value, { 4 } } } }, Revision { 4 } });
         source.registry.takeList(list);
         CHECK_FALSE(source.registry.hidesWrites(list));
     }
@@ -227,11 +230,11 @@
     Source source;
     source.put("server", { "10.0.0.1", 7, 50 });
     const std::string value = text({ "10.0.0.1", 7, 51 });
-    const SourceItems list { { 5 }, { { "server", value, { 5 } } } };
+    const SourceItems list { Revision { 5 }, { { "server", value, { 5 } } } };
     REQUIRE(source.registry.hidesWrites(list));
     source.registry.takeChanges(
         { { { { "server", value, { 3 } } }, { { "server", "", { 4 } }, true }, { { "server", value, { 5 } } } },
-            { 5 } });
+            Revision { 5 } });
     source.registry.takeList(list);
     CHECK(source.used().empty());
 }
@@ -243,12 +246,14 @@
     source.remove("server");
     source.put("server", { "10.0.0.1", 7, 51 });
     const std::string value = text({ "10.0.0.1", 7, 51 });
-    source.registry.takeChanges({ { { { "server", "", { 3 } }, true }, { { "server", value, { 4 } } } }, { 4 } });
+    source.registry.takeChanges(
+        { { { { "server", "", { 3 } }, true }, { { "server", value, { 4 } } } }, Revision { 4 } });
     CHECK(source.used() == "server");
     // A page of a full read contains later changes than the revision of the list.
-    source.registry.takeList({ { 4 }, { { "server", text({ "10.0.0.1", 7, 53 }), { 9 } } } });
+    source.registry.takeList({ Revision { 4 }, { { "server", text({ "10.0.0.1", 7, 53 }), { 9 } } } });
     source.registry.takeChanges(
-        { { { { "server", "", { 8 } }, true }, { { "server", text({ "10.0.0.1", 7, 53 }), { 9 } } } }, { 9 } });
+        { { { { "server", "", { 8 } }, true }, { { "server", text({ "10.0.0.1", 7, 53 }), { 9 } } } },
+            Revision { 9 } });
     CHECK(source.used() == "server");
 }
 
@@ -314,7 +319,7 @@
     source.putValue("odd", "?");
     CHECK(source.used() == "server");
     Source fetcher;
-    fetcher.registry.takeDocument(source.registry.revision(), source.document());
+    fetcher.registry.takeDocument(source.registry.version(), source.document());
     CHECK(fetcher.used() == "server");
     CHECK(fetcher.registry.list().skipped.size() == 3);
     // It reads the source from now on.
@@ -326,9 +331,9 @@
     CHECK(fetcher.used() == "left server");
     // A node that has just started does not know what was removed, but those that do keep to it.
     Source restarted;
-    restarted.registry.takeList({ { source.revision + 9 }, { { "back", text({ "10.0.0.3", 7, 80 }) } } });
+    restarted.registry.takeList({ Revision { source.revision + 9 }, { { "back", text({ "10.0.0.3", 7, 80 }) } } });
     CHECK(restarted.used() == "back");
-    source.registry.takeDocument(restarted.registry.revision(), restarted.document());
+    source.registry.takeDocument(restarted.registry.version(), restarted.document());
     CHECK(source.used().empty());
 }
 
@@ -339,19 +344,19 @@
     source.put("kept", { "10.0.0.2", 7, 50 });
     CHECK(source.used() == "kept left");
     Source fetcher;
-    fetcher.registry.takeDocument({ 5 }, source.document());
+    fetcher.registry.takeDocument(Revision { 5 }, source.document());
     CHECK(fetcher.used() == "kept left");
     source.remove("left");
     source.remove("kept");
     source.used();
     const auto items = source.registry.document([](const std::string& instance) { return instance == "kept"; });
-    fetcher.registry.takeDocument({ 6 }, items);
+    fetcher.registry.takeDocument(Revision { 6 }, items);
     CHECK(fetcher.registry.list().removed == std::set<std::string> { "left" });
     // A node that never had them in use passes on what it was told.
     Source started;
-    started.registry.takeDocument({ 6 }, items);
+    started.registry.takeDocument(Revision { 6 }, items);
     started.used();
-    fetcher.registry.takeDocument({ 7 }, started.document());
+    fetcher.registry.takeDocument(Revision { 7 }, started.document());
     CHECK(fetcher.registry.list().removed == std::set<std::string> { "left" });
     fetcher.revision = 7;
     fetcher.put("left", { "10.0.0.1", 7, 51 });
@@ -382,14 +387,14 @@
     CHECK(rc::check([](uint64_t seed) {
         Random random(seed);
         Source source;
-        SourceItems items { { 1 }, {} };
+        SourceItems items { Revision { 1 }, {} };
         SourceChanges unread;
         const auto write = [&](const std::string& key, const std::optional<std::string>& value) {
             ++source.revision;
             SourceChanges::Event event { { key, value.value_or(""), { source.revision } }, !value };
             unread.events.push_back(event);
-            unread.revision = { source.revision };
-            items = applyChanges(items, { { event }, { source.revision } });
+            unread.version = Revision { source.revision };
+            items = applyChanges(items, { { event }, Revision { source.revision } });
         };
         uint64_t sequence = 100;
         bool isRemoved = false;
@@ -417,7 +422,7 @@
                     source.registry.takeList(items);
                 unread.events.clear();
                 if (random.below(9) == 0)
-                    source.registry.takeDocument(source.registry.revision(), source.document());
+                    source.registry.takeDocument(source.registry.version(), source.document());
                 const std::string used = " " + source.used() + " ";
                 // Bytes that cannot be read under the server's own key count until its next heartbeat.
                 const bool isDisturbed = source.clock.now() - ownKeyDisturbedAt < heartbeat + 700ms;
--- a/tests/fleet/OutageTrackerTests.cpp
+++ b/tests/fleet/OutageTrackerTests.cpp
@@ -166,7 +166,7 @@
         const bool hasGapEnded = node.outages.onViewCurrent(asOf);
         if (sender)
             node.outages.onContinuity(sender->outages.continuity(clock.now()), clock.now(), clock.now());
-        BackendList list { { static_cast<uint64_t>((asOf - start) / step) + 1 }, {} };
+        BackendList list { Revision { static_cast<uint64_t>((asOf - start) / step) + 1 }, {} };
         for (size_t i = 0; i < removedAt.size(); ++i) {
             if (!isInSource(i, asOf)) {
                 // Without an outage, what the nodes say of their gaps must be enough.
--- a/tests/platform/DocumentsTests.cpp
+++ b/tests/platform/DocumentsTests.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-SourceDocument document(const std::vector<SourceItem>& items) { return { { 7 }, encodeItems(items) }; }
+SourceDocument document(const std::vector<SourceItem>& items) { return { Revision { 7 }, encodeItems(items) }; }
 
 }
 
@@ -42,19 +42,19 @@
 
 TEST_CASE("Applying the changes of a watch yields the same items as a full read")
 {
-    const SourceItems before { { 7 }, { { "servers/a", "{}" }, { "servers/b", "{}" } } };
+    const SourceItems before { Revision { 7 }, { { "servers/a", "{}" }, { "servers/b", "{}" } } };
     const auto changes = decodeChanges(
         R"({"events":[{"key":"servers/b","revision":8,"isGone":true},{"key":"servers/c","value":"YQ==","revision":9}],"atRev":9})");
     REQUIRE(changes);
     CHECK(changes->events[0].item.revision.value == 8);
     const SourceItems after = applyChanges(before, *changes);
-    CHECK(after.revision.value == 9);
+    CHECK(after.version.revision.value == 9);
     CHECK(encodeItems(after.items) == encodeItems({ { "servers/a", "{}" }, { "servers/c", "a" } }));
 
     const auto none = decodeChanges(R"({"events":[],"atRev":12})");
     REQUIRE(none);
     CHECK(encodeItems(applyChanges(after, *none).items) == encodeItems(after.items));
-    CHECK(applyChanges(after, *none).revision.value == 12);
+    CHECK(applyChanges(after, *none).version.revision.value == 12);
     // A malformed response yields no changes, so that a full read follows.
     for (const char* bad : { "", "{}", R"({"events":[]})", R"({"events":[{"revision":8,"isGone":true}],"atRev":9})",
              R"({"events":[{"key":"servers/c","revision":9}],"atRev":9})", R"({"events":[7],"atRev":9})" })
--- a/tests/platform/OrganisationsTests.cpp
+++ b/tests/platform/OrganisationsTests.cpp
@@ -22,7 +22,7 @@
 OperatorState decode(const std::string& resources)
 {
     SourceDocument document;
-    document.revision.value = 7;
+    document.version.revision.value = 7;
     document.text = encodeItems({ { "op/config", configurationWith(resources) } });
     return decodeOperators(document);
 }
--- a/tests/platform/fuzz/DecoderFuzz.cpp
+++ b/tests/platform/fuzz/DecoderFuzz.cpp
@@ -126,7 +126,7 @@
     std::string m_failure;
 };
 
-SourceDocument documentOf(const std::vector<SourceItem>& items) { return { { 7 }, encodeItems(items) }; }
+SourceDocument documentOf(const std::vector<SourceItem>& items) { return { Revision { 7 }, encodeItems(items) }; }
 
 bool isVisible(const std::string& text)
 {
@@ -137,7 +137,7 @@
 {
     const ManualClock clock;
     BackendRegistry registry(clock, BackendRegistry::Settings(), decodeBackend);
-    registry.takeList({ { 7 }, { { "servers/good", validEntry }, { oddKey, odd } } });
+    registry.takeList({ Revision { 7 }, { { "servers/good", validEntry }, { oddKey, odd } } });
     const BackendList list = registry.list();
     const bool isGoodInUse = std::any_of(list.entries.begin(), list.entries.end(), [](const BackendEntry& entry) {
         return entry.instance == "good" && entry.address == Address { "10.0.0.9", 8080 } && entry.slots == 9;
@@ -159,10 +159,10 @@
 {
     const ManualClock clock;
     BackendRegistry registry(clock, BackendRegistry::Settings(), decodeBackend);
-    registry.takeDocument({ 7 }, decodeItems(text));
+    registry.takeDocument(Revision { 7 }, decodeItems(text));
     registry.list();
-    registry.takeDocument({ 8 }, registry.document([](const std::string&) { return false; }));
-    registry.takeList({ { 9 }, {} });
+    registry.takeDocument(Revision { 8 }, registry.document([](const std::string&) { return false; }));
+    registry.takeList({ Revision { 9 }, {} });
     registry.list();
 }
 
@@ -214,7 +214,7 @@
             checks.require(encodeKey(item.key).find_first_of(" &#\r\n") == std::string::npos, "a key is encoded");
     }
     if (const auto decoded = decodeChanges(changes, maxBackendEntryBytes))
-        takeDocument(encodeItems(applyChanges({ { 7 }, { { "servers/good", validEntry } } }, *decoded).items));
+        takeDocument(encodeItems(applyChanges({ Revision { 7 }, { { "servers/good", validEntry } } }, *decoded).items));
 }
 
 void checkSettings(const std::string& odd, Checks& checks)
