Tell the node beside a server whose entry was removed that it was

Cause: nodes know each other by the entries of their servers. With its entry a node leaves the distribution tree of the others and gets no announcements; it believes that it is registered, so it doesn't subscribe, and reads the store only once its view is 0.7 to 1.75 s old. If it can't, it never learns it.

Change: a node that leaves the order is subscribed by the others for 7 s, 32 at once at most.

--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <set>
+#include <unordered_set>
 #include <xxhash.h>
 #include <zstd.h>
 
@@ -25,6 +26,9 @@
     constexpr std::chrono::milliseconds subscriptionInterval { 2000 };
     constexpr std::chrono::milliseconds subscriptionLifetime { 7000 };
     constexpr size_t maxSubscribers = 4096;
+    /// Maximum number of nodes that are subscribed at once when their backend servers leave; a lost data centre has
+    /// more.
+    constexpr size_t maxDroppedSubscribers = 32;
     /// Number of lowest-ranked nodes to subscribe to; one of them reads the source.
     constexpr size_t subscribedRanks = 2;
     /// Duration of the watch that only asks whether there is a change.
@@ -439,9 +443,24 @@
     for (LastAnnouncements* last : { &m_lastAnnouncements, &m_lastConfirmations })
         std::erase_if(
             *last, [&](const auto& entry) { return std::find(ips.begin(), ips.end(), entry.first) == ips.end(); });
+    subscribeDropped(ips);
     m_tree.setOrder(std::move(ips));
 }
 
+void FleetFollower::subscribeDropped(const std::vector<std::string>& order)
+{
+    const std::unordered_set<std::string_view> remaining(order.begin(), order.end());
+    size_t count = 0;
+    for (const std::string& ip : m_tree.order()) {
+        if (count == maxDroppedSubscribers || m_subscribers.size() >= maxSubscribers)
+            return;
+        if (remaining.contains(ip))
+            continue;
+        m_subscribers[ip] = m_clock.now() + subscriptionLifetime;
+        ++count;
+    }
+}
+
 std::optional<size_t> FleetFollower::seedIndex() const
 {
     const auto seed = std::find(m_node.seeds.begin(), m_node.seeds.end(), m_node.peersAddress.ip);
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -132,6 +132,10 @@
     /// Records that the view was up to date at a time.
     void markViewCurrent(SteadyTime asOf);
     void updateRank();
+    /// Subscribes nodes that are not in the order any more. Such a node must learn that its backend server is not
+    /// registered, which it may not be able to read itself.
+    /// @param order IP addresses of all nodes.
+    void subscribeDropped(const std::vector<std::string>& order);
     /// @return Whether the backend server beside this node is registered; other nodes know of this one only then.
     bool isRegistered() const;
     /// @return Index of this node in the list of seeds; empty if it is not a seed.
--- a/tests/relay/test_leaving_servers.py
+++ b/tests/relay/test_leaving_servers.py
@@ -84,6 +84,12 @@
         self.fleet.store.remove(f"servers/{self.leaving.backend.instance}")
         await self.assert_no_arrivals_after_drain(self.fleet.nodes)
 
+    async def test_requests_reach_a_server_whose_entry_was_removed_from_its_node_that_cannot_read_the_store(self):
+        self.leaving.store_proxy.set_mode("silent")
+        await asyncio.sleep(1)
+        self.fleet.store.remove(f"servers/{self.leaving.backend.instance}")
+        await self.assert_no_arrivals_after_drain([self.leaving])
+
     async def test_requests_reach_a_leaving_server_whose_entry_is_read_late(self):
         # While the store is unavailable, its node knows only the incarnation before, which has drained.
         self.fleet.register(self.leaving, "draining")
