Keep what the store lost until its own writes say otherwise, at all nodes

Cause: several places confused when a node heard of a write with when it was made. A write counted as made in the new era by the local time at which it was taken; a node that didn't read the store itself couldn't tell from the digest that a kept entry was back, and dropped it; a node whose documents were the same in the new era stayed in the old one, and took later removals for losses.

Change: an entry was written in the era if its version is later than the first one of the era. The digest covers which entries are kept. An equal digest moves a node's versions to the new era. What is taken from older documents never counts as a write; an incarnation that has drained stays ended; a removal in the first document of an era doesn't end an entry with a later write; a kept entry that loses its address is removed. A configuration with the version in force but other content is ignored, and an evacuation that the store had in the new era isn't kept from a peer. While the store catches up, nodes that judge an entry differently fetch the document again.

--- a/snipeweir/fleet/BackendRegistry.cpp
+++ b/snipeweir/fleet/BackendRegistry.cpp
@@ -51,13 +51,20 @@
 {
     if (list.version < m_version)
         return;
+    setVersion(list.version);
     std::set<std::string_view> keys;
     for (const SourceItem& item : list.items) {
         keys.insert(item.key);
         write(item, list.version.era);
     }
     setOthersMissing(keys);
-    m_version = list.version;
+}
+
+void BackendRegistry::setVersion(const SourceVersion& version)
+{
+    if (version.era != m_version.era)
+        m_eraStart = version;
+    m_version = version;
 }
 
 template <typename Keys> void BackendRegistry::setOthersMissing(const Keys& keys)
@@ -106,10 +113,8 @@
     const bool isInSource = isUsed(record) || record.state == State::Copy;
     const bool isWrittenAgain = record.state == State::Kept && markOf(entry) == *record.mark;
     const bool isNewer = !record.mark || markOf(entry) > *record.mark || isWrittenAgain;
-    const bool hasEnded = !isInSource && record.mark && record.hasDrained && !entry.isDraining
-        && record.mark->startedAtMs == entry.startedAtMs;
     const bool isRemovedCopy = !record.mark && isCopyOfRemoved(entry);
-    if (isNewer && !hasEnded && !isRemovedCopy) {
+    if (isNewer && (isInSource || !hasEnded(record, entry)) && !isRemovedCopy) {
         accept(record, item, entry);
     } else if (isInSource) {
         writeOlder(record, item, entry);
@@ -122,6 +127,8 @@
 
 void BackendRegistry::writeOlder(Record& record, const SourceItem& item, const BackendEntry& entry)
 {
+    if (record.state == State::Kept)
+        setPresent(record, State::InUse);
     const Mark mark = markOf(entry);
     if (mark.startedAtMs == record.mark->startedAtMs && entry.isDraining) {
         record.hasDrained = true;
@@ -158,6 +165,18 @@
     record.entry = entry;
 }
 
+void BackendRegistry::acceptUnseen(Record& record, const SourceItem& item, const BackendEntry& entry)
+{
+    const SteadyTime movedAt = record.movedAt;
+    accept(record, item, entry);
+    record.movedAt = movedAt;
+}
+
+bool BackendRegistry::hasEnded(const Record& record, const BackendEntry& entry)
+{
+    return record.mark && record.hasDrained && !entry.isDraining && record.mark->startedAtMs == entry.startedAtMs;
+}
+
 void BackendRegistry::markMalformed(Record& record, const SourceItem& item, std::string fault)
 {
     setPresent(record, State::Malformed);
@@ -171,16 +190,17 @@
     if (found == m_records.end() || found->second.state == State::Removed
         || (version.revision != Revision {} && version <= found->second.version))
         return;
-    found->second.version = version;
-    if (found->second.mark)
-        setMissing(key, found->second);
-    else
+    if (!found->second.mark) {
         m_records.erase(found);
+        return;
+    }
+    setMissing(key, found->second);
+    found->second.version = version;
 }
 
 void BackendRegistry::setMissing(const std::string& key, Record& record)
 {
-    const bool wasWrittenInEra = record.movedAt > m_eraBegin;
+    const bool wasWrittenInEra = record.version > m_eraStart;
     if (isUsed(record) && !record.hasDrained && !wasWrittenInEra && isKeepingMissing())
         record.state = State::Kept;
     else
@@ -201,15 +221,19 @@
     return isChanged;
 }
 
-size_t BackendRegistry::keptCount() const
+std::vector<std::string> BackendRegistry::keptInstances() const
 {
-    return static_cast<size_t>(std::count_if(
-        m_records.begin(), m_records.end(), [](const auto& known) { return known.second.state == State::Kept; }));
+    std::vector<std::string> instances;
+    for (const auto& [key, record] : m_records) {
+        if (record.state == State::Kept)
+            instances.push_back(record.entry.instance);
+    }
+    return instances;
 }
 
 std::optional<SteadyTime> BackendRegistry::nextExpiry() const
 {
-    return keptCount() == 0 ? std::nullopt : std::optional(m_keepUntil);
+    return keptInstances().empty() ? std::nullopt : std::optional(m_keepUntil);
 }
 
 void BackendRegistry::setPresent(Record& record, State state)
@@ -262,12 +286,20 @@
 {
     if (version < m_version)
         return;
+    const bool isNewEra = version.era != m_version.era;
+    setVersion(version);
     std::set<std::string> keys;
     for (const SourceItem& item : items) {
         std::string key = item.key;
         if (key.starts_with(removedPrefix)) {
             key.erase(0, removedPrefix.size());
-            if (const auto gone = decodeGoneItem(item.value))
+            const auto gone = decodeGoneItem(item.value);
+            // This node may have seen a later write that the source lost.
+            const auto known = m_records.find(key);
+            if (isNewEra && gone && known != m_records.end() && isUsed(known->second)
+                && *known->second.mark > gone->mark)
+                continue;
+            if (gone)
                 takeRemovedItem(key, *gone);
         } else if (key.starts_with(copyPrefix)) {
             key.erase(0, copyPrefix.size());
@@ -281,18 +313,15 @@
         keys.insert(std::move(key));
     }
     setOthersMissing(keys);
-    m_version = version;
 }
 
 void BackendRegistry::takeLost(const std::vector<SourceItem>& items)
 {
-    if (!isKeepingMissing())
-        return;
     for (const SourceItem& item : items) {
         if (item.key.starts_with(removedPrefix))
             takeLostRemoval(item.key.substr(removedPrefix.size()), decodeGoneItem(item.value));
         else if (item.key.starts_with(keptPrefix))
-            takeLostEntry(item.key.substr(keptPrefix.size()), item, true);
+            takeLostEntry(item.key.substr(keptPrefix.size()), item, isKeepingMissing());
         else if (!item.key.starts_with(copyPrefix))
             takeLostEntry(item.key, item, false);
     }
@@ -307,10 +336,10 @@
         return;
     Record& record = m_records[key];
     const bool isKnown = record.mark && markOf(*decoded.entry) <= *record.mark;
-    if (isKnown || (isGone(record) && !isKept))
+    if (isKnown || (isGone(record) && (!isKept || hasEnded(record, *decoded.entry))))
         return;
-    const bool isMissing = found == m_records.end() || isGone(record);
-    accept(record, original, *decoded.entry);
+    const bool isMissing = found == m_records.end() || isGone(record) || record.state == State::Kept;
+    acceptUnseen(record, original, *decoded.entry);
     if (isMissing)
         record.state = State::Kept;
 }
@@ -337,9 +366,7 @@
         return;
     }
     const Mark mark = markOf(*decoded.entry);
-    const bool hasEnded = record.mark && record.hasDrained && !decoded.entry->isDraining
-        && record.mark->startedAtMs == mark.startedAtMs;
-    if (isGone(record) && record.mark && (mark <= *record.mark || hasEnded)) {
+    if (isGone(record) && record.mark && (mark <= *record.mark || hasEnded(record, *decoded.entry))) {
         setReappeared(item.key, record, item.value);
         return;
     }
@@ -348,11 +375,8 @@
         record.state = State::InUse;
         return;
     }
-    // The sender may have seen the writes between two documents, so its choice counts. The age of the increase of the
-    // sequence number is not known.
-    const SteadyTime movedAt = record.movedAt;
-    accept(record, item, *decoded.entry);
-    record.movedAt = movedAt;
+    // The sender may have seen the writes between two documents, so its choice counts.
+    acceptUnseen(record, item, *decoded.entry);
 }
 
 void BackendRegistry::takeCopiedItem(const std::string& key, const SourceItem& item)
@@ -394,11 +418,11 @@
         return;
     Record& record = m_records[key];
     const bool isNewer = !record.mark || markOf(*decoded.entry) > *record.mark;
-    if (isGone(record) && !isNewer)
+    if (isGone(record) && (!isNewer || hasEnded(record, *decoded.entry)))
         return;
     if (isNewer)
-        accept(record, original, *decoded.entry);
-    setMissing(key, record);
+        acceptUnseen(record, original, *decoded.entry);
+    setPresent(record, State::Kept);
 }
 
 std::optional<BackendRegistry::GoneItem> BackendRegistry::decodeGoneItem(const std::string& value)
@@ -495,19 +519,23 @@
 
 void BackendRegistry::resolveAddresses()
 {
-    std::map<Address, Record*> holders;
-    for (auto& [key, record] : m_records) {
+    std::map<Address, std::map<std::string, Record>::iterator> holders;
+    for (auto current = m_records.begin(); current != m_records.end(); ++current) {
+        Record& record = current->second;
         if (record.state == State::Copy && isConfirmed(record))
             record.state = State::InUse;
         if (!isUsed(record) || !isKnownService(record.entry.service))
             continue;
-        const auto [found, isFirst] = holders.emplace(record.entry.address, &record);
+        const auto [found, isFirst] = holders.emplace(record.entry.address, current);
         if (isFirst)
             continue;
-        Record* loser = &record;
-        if (precedes(record, *found->second))
+        auto loser = current;
+        if (precedes(record, found->second->second))
             std::swap(loser, found->second);
-        loser->state = State::Copy;
+        if (loser->second.state == State::Kept)
+            setRemoved(loser->first, loser->second);
+        else
+            loser->second.state = State::Copy;
     }
     for (auto& [key, record] : m_records) {
         record.isHolder = isUsed(record);
--- a/snipeweir/fleet/BackendRegistry.h
+++ b/snipeweir/fleet/BackendRegistry.h
@@ -62,21 +62,24 @@
     /// removed, later writes of the known ones, and entries that the sender keeps.
     void takeLost(const std::vector<SourceItem>&);
 
-    /// Sets when the source was back from a copy. Entries in use that it doesn't have any more are kept for
-    /// Settings::missingEntryGrace from then, unless they were written since.
-    void setEraBegin(SteadyTime begin)
+    /// Records that a node with a later version, which may be in a later era, has the same entries.
+    void confirmVersion(const SourceVersion& version)
     {
-        m_eraBegin = begin;
-        m_keepUntil = begin + m_settings.missingEntryGrace;
+        if (version > m_version)
+            setVersion(version);
     }
 
-    /// Removes the entries that were kept, if the list was current when their time was over.
-    /// @param asOf Time at which the source was in the state of the registry.
-    /// @return Whether there were any.
+    /// Sets when the source was back from a copy. Entries in use that it doesn't have any more are kept for
+    /// Settings::missingEntryGrace from then, unless they were written since.
+    void setEraBegin(SteadyTime begin) { m_keepUntil = begin + m_settings.missingEntryGrace; }
+
+    /// Removes the entries that were kept, if their time is over.
+    /// @param asOf Time at which the registry was last known to be current.
+    /// @return Whether any were removed.
     bool expireKept(SteadyTime asOf);
 
-    /// @return Number of entries that are kept although the source doesn't have them.
-    size_t keptCount() const;
+    /// @return Instances of the entries that are kept although the source doesn't have them.
+    std::vector<std::string> keptInstances() const;
 
     /// @return Time at which expireKept() removes the entries that are kept; empty if there is none.
     std::optional<SteadyTime> nextExpiry() const;
@@ -169,6 +172,12 @@
     /// Handles a write that is not newer than the entry in use.
     void writeOlder(Record&, const SourceItem&, const BackendEntry&);
     void accept(Record&, const SourceItem&, const BackendEntry&);
+    /// Accepts an item that another node has seen. When the sequence number increased is not known then.
+    void acceptUnseen(Record&, const SourceItem&, const BackendEntry&);
+    /// @return Whether the entry is of an incarnation that has drained and isn't in the source any more.
+    static bool hasEnded(const Record&, const BackendEntry&);
+    /// Changes the version of the registry.
+    void setVersion(const SourceVersion&);
     /// Changes the state of a record to one other than Removed and Reappeared.
     void setPresent(Record&, State);
     void remove(const std::string& key, const SourceVersion&);
@@ -204,7 +213,8 @@
     Settings m_settings;
     Decode m_decode;
     SourceVersion m_version;
-    SteadyTime m_eraBegin {};
+    /// First version that was taken in the current era.
+    SourceVersion m_eraStart;
     SteadyTime m_keepUntil {};
     /// By key, with the removed ones.
     std::map<std::string, Record> m_records;
--- a/snipeweir/fleet/OperatorDocument.cpp
+++ b/snipeweir/fleet/OperatorDocument.cpp
@@ -81,28 +81,51 @@
 void OperatorDocument::takeCurrent(Items items, OperatorState state, const SourceVersion& version, bool canKeep)
 {
     const bool isNewEra = m_version.isKnown() && version.era > m_version.era;
+    setVersion(version, state.evacuated);
     if (isNewEra && canKeep) {
         Items before;
         for (const auto& [dataCentre, key] : m_state.evacuationKeys)
             before.emplace(key, m_kept.contains(dataCentre) ? m_kept[dataCentre].value : m_items[key]);
         keep(before, OperatorState(m_state));
     }
-    m_isConfigurationKept = m_state.configuration && versionOf(state) < configurationVersion();
-    if (m_isConfigurationKept) {
-        items[m_state.configurationKey] = m_items[m_state.configurationKey];
+    const bool isConfigurationLater
+        = state.configuration && (!m_state.configuration || versionOf(state) > configurationVersion());
+    m_isConfigurationKept = false;
+    if (m_state.configuration && !isConfigurationLater) {
+        std::string& value = items[m_state.configurationKey];
+        m_isConfigurationKept = value != m_items[m_state.configurationKey];
+        value = m_items[m_state.configurationKey];
         state.configuration = m_state.configuration;
         state.configurationKey = m_state.configurationKey;
     }
-    m_version = version;
     m_items = std::move(items);
     m_state = std::move(state);
 }
 
+void OperatorDocument::setVersion(const SourceVersion& version, const std::set<DataCentreName>& evacuated)
+{
+    if (version.era != m_version.era)
+        m_evacuatedInEra.clear();
+    m_evacuatedInEra.insert(evacuated.begin(), evacuated.end());
+    m_version = version;
+    m_state.version = version;
+}
+
+void OperatorDocument::confirmVersion(const SourceVersion& version)
+{
+    if (version <= m_version)
+        return;
+    std::set<DataCentreName> evacuated = m_state.evacuated;
+    for (const auto& [dataCentre, item] : m_kept)
+        evacuated.erase(dataCentre);
+    setVersion(version, evacuated);
+}
+
 void OperatorDocument::keep(const Items& items, const OperatorState& state)
 {
     for (const auto& [dataCentre, key] : state.evacuationKeys) {
         const auto found = items.find(key);
-        if (found != items.end())
+        if (found != items.end() && !m_evacuatedInEra.contains(dataCentre))
             m_kept.emplace(dataCentre, SourceItem { key, found->second });
     }
 }
--- a/snipeweir/fleet/OperatorDocument.h
+++ b/snipeweir/fleet/OperatorDocument.h
@@ -28,6 +28,9 @@
     /// @return Whether state() or digest() changed.
     bool take(const SourceDocument&, bool canKeep);
 
+    /// Records that the source has the document in force at a later version, which may be in a later era.
+    void confirmVersion(const SourceVersion&);
+
     /// Drops the evacuations that the source lost.
     /// @return Whether there were any.
     bool dropKept();
@@ -58,6 +61,7 @@
     static SourceDocument documentOf(const SourceVersion&, const Items&);
     void takeOlder(const Items& items, const OperatorState& state);
     void takeCurrent(Items items, OperatorState state, const SourceVersion&, bool canKeep);
+    void setVersion(const SourceVersion&, const std::set<DataCentreName>& evacuated);
     /// Keeps evacuations that the document doesn't have.
     void keep(const Items& items, const OperatorState& state);
     /// Brings state() and digest() up to date with the items and the evacuations that are kept.
@@ -69,6 +73,8 @@
     uint64_t m_takenDigest = 0;
     uint64_t m_digest = 0;
     Items m_items;
+    /// Data centres that the source had out of service at some time of the current era.
+    std::set<DataCentreName> m_evacuatedInEra;
     /// Evacuations that the source lost.
     std::map<DataCentreName, SourceItem> m_kept;
     OperatorState m_state;
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -82,9 +82,12 @@
             [&](const BackendEntry& entry) { return !instances.contains(entry.instance); }));
     }
 
-    uint64_t digestOf(const FleetView& view)
+    /// @param kept Instances that the source has lost. Other nodes must learn when it has them again.
+    uint64_t digestOf(const FleetView& view, const std::vector<std::string>& kept)
     {
         std::string text;
+        for (const std::string& instance : kept)
+            text.append(instance).append("k");
         for (const BackendEntry& entry : view.backends())
             text.append(entry.instance)
                 .append(entry.address.text())
@@ -209,7 +212,7 @@
         applyBackends();
     if (!m_view.expireMissing(currentAt))
         return;
-    m_backendsVersion.digest = digestOf(m_view);
+    m_backendsVersion.digest = digestOf(m_view, m_registry.keptInstances());
     m_compressedBackends.clear();
     updateRank();
     onChanged();
@@ -246,6 +249,22 @@
         m_registry.setEraBegin(*m_eras.begin());
 }
 
+void FleetFollower::confirmVersions(const PeerMessage& announcement)
+{
+    const SourceDocumentVersion& backends = announcement.backends;
+    if (backends.version.era > m_backendsVersion.version.era && backends.digest == m_backendsVersion.digest) {
+        m_registry.confirmVersion(backends.version);
+        applyBackends();
+    }
+    const SourceDocumentVersion& operators = announcement.operators;
+    if (operators.version.era > m_operatorsVersion.version.era && operators.digest == m_operatorsVersion.digest) {
+        const SourceVersion before = m_operators.version();
+        m_operators.confirmVersion(operators.version);
+        m_operatorsVersion.version = operators.version;
+        logEraChange("operators", before, operators.version, std::string(), 0);
+    }
+}
+
 bool FleetFollower::lacksHistoryOf(const PeerMessage& announcement) const
 {
     return announcement.eraAge && !m_hasHistory && isSourceCatchingUp();
@@ -292,8 +311,8 @@
         m_registry.takeDocument(version, items);
         m_fetchedDigest = version == fetched.announced.version ? fetched.announced.digest : 0;
     }
-    m_registry.expireKept(m_pollSchedule.lastCurrentAt());
     applyBackends();
+    expireMissing();
 }
 
 void FleetFollower::takeFetchedOperators(const DocumentFetcher::Fetched& fetched)
@@ -333,9 +352,9 @@
     const bool isChanged
         = m_view.updateBackends(std::move(list), m_outages.outageEnd(), m_pollSchedule.lastCurrentAt());
     m_compressedBackends.clear();
-    m_backendsVersion = { version, digestOf(m_view) };
+    m_backendsVersion = { version, digestOf(m_view, m_registry.keptInstances()) };
     if (version.era != versionBefore.era && versionBefore.isKnown())
-        logEraChange("backends", versionBefore, version, std::to_string(m_registry.keptCount()),
+        logEraChange("backends", versionBefore, version, std::to_string(m_registry.keptInstances().size()),
             countDropped(before, m_view.backends()));
     if (!isChanged)
         return;
@@ -585,8 +604,12 @@
     if (message.backends.version.era < m_eras.era())
         return;
     const bool lacksHistory = lacksHistoryOf(message);
-    const bool hasNewBackends = message.backends.version > m_backendsVersion.version
-        && message.backends.digest != m_backendsVersion.digest && message.backends.digest != m_fetchedDigest;
+    // Entries that the announcer kept may be gone without a later version. While entries are written again, nodes that
+    // know different things about one need not judge it differently for long.
+    const bool isLaterOrDropped = message.backends.version > m_backendsVersion.version
+        || (message.backends.version == m_backendsVersion.version && !m_registry.keptInstances().empty());
+    const bool wasFetched = message.backends.digest == m_fetchedDigest && !isSourceCatchingUp();
+    const bool hasNewBackends = isLaterOrDropped && message.backends.digest != m_backendsVersion.digest && !wasFetched;
     const bool hasNewOperators = message.operators.version > m_operatorsVersion.version
         && message.operators.digest != m_operatorsVersion.digest;
     const bool hasLaterConfiguration = message.operators.version.era >= m_operatorsVersion.version.era
@@ -598,6 +621,7 @@
         if (!hasNewOperators)
             expireKeptEvacuations();
     }
+    confirmVersions(message);
     DistributionTree::Source source = m_tree.documentSource(message.announcer, m_node.peersAddress.ip);
     // Other nodes than the announcer may have no history either.
     if (lacksHistory)
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -115,6 +115,8 @@
     /// @param seenAt Time at which the source was in that era.
     void noteEra(uint64_t era, SteadyTime seenAt);
     void noteEraOf(const PeerMessage& announcement);
+    /// Records that the source has this node's documents in a later era, too. A later change is none that it lost.
+    void confirmVersions(const PeerMessage& announcement);
     /// @return Whether this node should fetch the documents of an announcer, whatever their versions, because that one
     /// knows what was before the source was restored from a copy.
     bool lacksHistoryOf(const PeerMessage& announcement) const;
