--- a/tests/fleet/BackendRegistryTests.cpp
+++ b/tests/fleet/BackendRegistryTests.cpp
@@ -1,46 +1,14 @@
 #include "snipeweir/core/Random.h"
-#include "snipeweir/fleet/BackendRegistry.h"
+#include "tests/fleet/WrittenEntries.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
-#include <sstream>
 
 using namespace snipeweir;
 using namespace std::chrono_literals;
 
 namespace {
 
-struct Written {
-    std::string ip;
-    uint64_t startedAtMs = 0;
-    uint64_t sequence = 0;
-    std::string state = "ready";
-    std::string service = "scans";
-};
-
-std::string text(const Written& written)
-{
-    std::ostringstream stream;
-    stream << written.ip << " " << written.startedAtMs << " " << written.sequence << " " << written.state << " "
-           << written.service;
-    return stream.str();
-}
-
-DecodedBackend decode(const SourceItem& item)
-{
-    std::istringstream stream(item.value);
-    BackendEntry entry;
-    std::string state;
-    std::string service;
-    stream >> entry.address.ip >> entry.startedAtMs >> entry.sequence >> state >> service;
-    if (!stream)
-        return { std::nullopt, "malformed" };
-    entry.instance = item.key;
-    entry.service = ServiceName(service);
-    entry.isDraining = state == "draining";
-    return { entry, {} };
-}
-
 /// A registry that sees each write to the source.
 struct Source {
     ManualClock clock;
