Test, failing, that a kept entry stays although another node knows a later write

Cause: takeKeptItem() and takeLostEntry() call accept(), which sets the time of the last write; setMissing() then takes the entry for one that was written in the new era and drops it at once.

Measured: used() is "a" instead of "a b", with a document and after an older one.

--- a/tests/fleet/BackendRegistryEraTests.cpp
+++ b/tests/fleet/BackendRegistryEraTests.cpp
@@ -474,3 +474,29 @@
     fetcher.take(with.node);
     CHECK(fetcher.used() == "a");
 }
+
+TEST_CASE("A kept entry of which another node knows a later write is dropped at once")
+{
+    Restored with;
+    Node other { with.clock };
+    other.read(with.store);
+    with.store.put("b", with.b(51));
+    other.read(with.store);
+    with.clock.advance(10s);
+    with.store.restore(with.copy);
+    with.node.note(2, with.clock.now());
+    other.read(with.store);
+    with.clock.advance(100ms);
+    SUBCASE("in a document") { with.node.take(other); }
+    SUBCASE("in an older document")
+    {
+        with.node.registry.takeList(with.store.list());
+        with.store.put("a", { "10.0.0.1", 7, 51 });
+        with.node.registry.takeList(with.store.list());
+        with.node.take(other);
+        with.clock.advance(100ms);
+        with.node.registry.takeList(with.store.list());
+    }
+    CHECK(with.node.used() == "a b");
+    CHECK(with.node.registry.keptCount() == 1);
+}
