Test, failing, that a kept entry ends although another node knows a later write

Cause: takeLostEntry() leaves a kept entry InUse, as it only keeps entries that are unknown or gone.

Measured: keptCount() is 0 instead of 1, and "b" is still in use after the time.

--- a/tests/fleet/BackendRegistryEraTests.cpp
+++ b/tests/fleet/BackendRegistryEraTests.cpp
@@ -500,3 +500,17 @@
     CHECK(with.node.used() == "a b");
     CHECK(with.node.registry.keptCount() == 1);
 }
+
+TEST_CASE("A kept entry counts as one of the source, and outlives its time, once another node knows a later write")
+{
+    Restored with;
+    with.restore();
+    with.store.put("a", { "10.0.0.1", 7, 51 });
+    with.node.registry.takeList(with.store.list());
+    with.node.registry.takeLost({ { "kept/b", text(with.b(51)) } });
+    CHECK(with.node.used() == "a b");
+    CHECK(with.node.registry.keptCount() == 1);
+    with.clock.advance(2200ms);
+    with.node.registry.expireKept(with.clock.now());
+    CHECK(with.node.used() == "a");
+}
