Test, failing, that a drained server isn't used again as another node keeps it

Cause: takeLostEntry() doesn't ask whether the incarnation has drained; accept() returns before it sets the entry.

Measured: list() has an entry without a name; the subcase with a document passes.

--- a/tests/fleet/BackendRegistryEraTests.cpp
+++ b/tests/fleet/BackendRegistryEraTests.cpp
@@ -514,3 +514,20 @@
     with.node.registry.expireKept(with.clock.now());
     CHECK(with.node.used() == "a");
 }
+
+TEST_CASE("A server that drained and left is used again, or an entry without a name, as another node keeps it")
+{
+    Restored with;
+    with.copy.put("b", with.b(48));
+    with.store.put("b", with.b(51, "draining"));
+    with.store.remove("b");
+    with.node.read(with.store);
+    Node started { with.clock };
+    started.take(with.node);
+    with.restore();
+    started.note(2, with.node.eraBegin);
+    const Items items { { "a", text({ "10.0.0.1", 7, 50 }) }, { "kept/b", text(with.b(52)) } };
+    SUBCASE("in a document") { started.registry.takeDocument({ Revision { 200 }, 2 }, items); }
+    SUBCASE("in an older document") { started.registry.takeLost(items); }
+    CHECK(started.used() == "a");
+}
