Test, failing, that an entry written after its removal outlives a document without the write

Cause: takeRemovedItem() removes an entry with a higher mark than that of the removal; takeLostRemoval() doesn't.

Measured: used() is "a" instead of "a b", whether the copy has an older entry or none.

--- a/tests/fleet/BackendRegistryEraTests.cpp
+++ b/tests/fleet/BackendRegistryEraTests.cpp
@@ -531,3 +531,22 @@
     SUBCASE("in an older document") { started.registry.takeLost(items); }
     CHECK(started.used() == "a");
 }
+
+TEST_CASE("An entry that was written again after its removal is dropped as another node knows only of the removal")
+{
+    Restored with;
+    Node other { with.clock };
+    other.read(with.store);
+    with.store.remove("b");
+    other.read(with.store);
+    with.store.put("b", with.b(51));
+    with.node.read(with.store);
+    with.clock.advance(10s);
+    with.store.restore(with.copy);
+    SUBCASE("and is not in the copy") { }
+    SUBCASE("and is older in the copy") { with.store.put("b", with.b(49)); }
+    other.read(with.store);
+    with.clock.advance(100ms);
+    with.node.take(other);
+    CHECK(with.node.used() == "a b");
+}
