Test, failing, that a server that starts and leaves in the new era isn't kept

Cause: The first write of an incarnation has no time of a write, so its removal in the same era counts as a loss.

Measured: used() is "a b c" instead of "b".

--- a/tests/fleet/BackendRegistryEraTests.cpp
+++ b/tests/fleet/BackendRegistryEraTests.cpp
@@ -550,3 +550,18 @@
     with.node.take(other);
     CHECK(with.node.used() == "a b");
 }
+
+TEST_CASE("A server that starts in the new era and is removed at once is kept as if the source had lost it")
+{
+    Restored with;
+    with.restore();
+    with.store.put("c", { "10.0.0.3", 7, 1 });
+    with.store.put("a", { "10.0.0.1", 8, 1 });
+    with.node.read(with.store);
+    CHECK(with.node.used() == "a b c");
+    with.clock.advance(100ms);
+    with.store.remove("c");
+    with.store.remove("a");
+    with.node.read(with.store);
+    CHECK(with.node.used() == "b");
+}
