Test, failing, that a kept entry which the source has again isn't dropped

Cause: writeOlder() leaves an entry kept that the source has with a lower sequence number.

Measured: keptCount() is 1 instead of 0, and "b" is dropped after the time.

--- a/tests/fleet/BackendRegistryEraTests.cpp
+++ b/tests/fleet/BackendRegistryEraTests.cpp
@@ -565,3 +565,16 @@
     with.node.read(with.store);
     CHECK(with.node.used() == "b");
 }
+
+TEST_CASE("A kept entry that the source has again, with a lower number, is dropped with the lost ones")
+{
+    Restored with;
+    with.restore();
+    with.store.put("b", with.b(49));
+    with.node.read(with.store);
+    CHECK(with.node.used() == "a b");
+    CHECK(with.node.registry.keptCount() == 0);
+    with.clock.advance(2200ms);
+    with.node.read(with.store);
+    CHECK(with.node.used() == "a b");
+}
