Test, failing, that a kept entry without its address isn't taken for one of the source

Cause: resolveAddresses() makes it a copy, and one in use once its server names itself; expireKept() ends neither.

Measured: hidesWrites() is true, it is skipped, keptCount() is 0 instead of 1, and it is in use after the time.

--- a/tests/fleet/BackendRegistryEraTests.cpp
+++ b/tests/fleet/BackendRegistryEraTests.cpp
@@ -578,3 +578,23 @@
     with.node.read(with.store);
     CHECK(with.node.used() == "a b");
 }
+
+TEST_CASE("A kept entry that loses its address is taken for one of the source, or outlives its time")
+{
+    Restored with;
+    with.restore();
+    with.store.put("c", { "10.0.0.2", 9, 1 });
+    with.node.read(with.store);
+    with.clock.advance(1500ms);
+    with.store.put("c", { "10.0.0.2", 9, 2 });
+    with.node.read(with.store);
+    CHECK(with.node.used() == "a c");
+    CHECK_FALSE(with.node.registry.hidesWrites(with.store.list()));
+    CHECK(with.node.registry.list().skipped.empty());
+    with.node.registry.confirm({ "10.0.0.2", 0 }, "b");
+    CHECK(with.node.used() == "a b");
+    CHECK(with.node.registry.keptCount() == 1);
+    with.clock.advance(2200ms);
+    with.node.read(with.store);
+    CHECK(with.node.used() == "a c");
+}
