Test, failing, that an entry with a new number in the first list is kept when it lapses

Cause: The first list of an era counts as written in the era, as it is taken after the begin; a node that was behind sees higher numbers in it.

--- a/tests/fleet/BackendRegistryEraTests.cpp
+++ b/tests/fleet/BackendRegistryEraTests.cpp
@@ -598,3 +598,21 @@
     with.node.read(with.store);
     CHECK(with.node.used() == "a c");
 }
+
+TEST_CASE("An entry that a node first sees in the copy, after it was behind, is dropped when it lapses early")
+{
+    Restored with;
+    with.store.put("b", with.b(51));
+    with.copy = with.store;
+    with.clock.advance(10s);
+    with.store.restore(with.copy);
+    with.node.note(2, with.clock.now());
+    // The response arrives some milliseconds after the era was heard of.
+    with.clock.advance(5ms);
+    with.node.registry.takeList(with.store.list());
+    CHECK(with.node.used() == "a b");
+    with.clock.advance(100ms);
+    with.store.remove("b");
+    with.node.read(with.store);
+    CHECK(with.node.used() == "a b");
+}
