Test, failing, that a configuration of the same version doesn't replace the one in force

Cause: Only a lower version is refused; the view keeps the first one, so a node hands out another one than it uses.

--- a/tests/fleet/OperatorDocumentTests.cpp
+++ b/tests/fleet/OperatorDocumentTests.cpp
@@ -262,3 +262,14 @@
     node.take(3, 70, { { "kept/out/b", "1" } });
     CHECK(node.evacuated() == "b*");
 }
+
+TEST_CASE("A configuration written in the new era with the version in force replaces it at this node's peers only")
+{
+    Operators node;
+    node.take(1, 90, { { "config", "5 old" } });
+    node.take(2, 80, { { "config", "5 new" } });
+    CHECK(node.document.state().configuration->routes[0].name == "5 old");
+    Operators started;
+    started.take(node);
+    CHECK(started.document.state().configuration->routes[0].name == "5 old");
+}
