Test, failing, that a configuration of version zero isn't lost

Cause: None, or a malformed one, counts as version zero, which isn't below that of the configuration in force.

Measured: there is no configuration afterwards, in both cases.

--- a/tests/fleet/OperatorDocumentTests.cpp
+++ b/tests/fleet/OperatorDocumentTests.cpp
@@ -273,3 +273,13 @@
     started.take(node);
     CHECK(started.document.state().configuration->routes[0].name == "5 old");
 }
+
+TEST_CASE("A configuration of version zero is lost if the source has none or a malformed one")
+{
+    for (const Items& items : { Items {}, Items { { "config", "?" } } }) {
+        Operators node;
+        node.take(1, 90, { { "config", "0" } });
+        node.take(2, 80, items);
+        CHECK(node.document.state().configuration);
+    }
+}
