Test, failing, that a lifted evacuation isn't in force again as another node keeps it

Cause: Kept evacuations of other nodes are joined whether or not the source had them again in the new era.

Measured: evacuated() is "a*" instead of empty, with an older document and a later one.

--- a/tests/fleet/OperatorDocumentTests.cpp
+++ b/tests/fleet/OperatorDocumentTests.cpp
@@ -283,3 +283,23 @@
         CHECK(node.document.state().configuration);
     }
 }
+
+TEST_CASE("An evacuation that was written again and lifted in the new era is in force again as another node keeps it")
+{
+    Operators node;
+    Operators other;
+    node.take(1, 90, { { "config", "5" }, { "out/a", "1" } });
+    other.take(node);
+    node.take(2, 80, { { "config", "5" } });
+    other.take(2, 80, { { "config", "5" } });
+    node.take(2, 81, { { "config", "5" }, { "out/a", "2" } });
+    node.take(2, 82, { { "config", "5" } });
+    CHECK(node.evacuated().empty());
+    SUBCASE("in an older document") { node.take(other); }
+    SUBCASE("in a later document")
+    {
+        other.take(2, 83, { { "config", "5" }, { "x", "" } });
+        node.take(other);
+    }
+    CHECK(node.evacuated().empty());
+}
