--- a/tests/fleet/BackendRegistryEraTests.cpp
+++ b/tests/fleet/BackendRegistryEraTests.cpp
@@ -616,3 +616,18 @@
     with.node.read(with.store);
     CHECK(with.node.used() == "a b");
 }
+
+TEST_CASE("A document that was current before the time was over drops what its sender keeps")
+{
+    Restored with;
+    with.restore();
+    const Node sender = with.node;
+    with.clock.advance(3s);
+    Node fetcher { with.clock };
+    fetcher.note(1, {});
+    fetcher.note(2, sender.eraBegin);
+    fetcher.registry.takeDocument(sender.registry.version(), sender.document());
+    CHECK(fetcher.used() == "a b");
+    CHECK(fetcher.registry.expireKept(fetcher.clock.now()));
+    CHECK(fetcher.used() == "a");
+}
