Test, failing, that a node which starts late learns of removed servers

Cause: takeLost() does nothing once the time for kept entries is over, while the node asks for the documents for longer.

Measured: used() is "a b c" instead of "a* c".

--- a/tests/fleet/BackendRegistryEraTests.cpp
+++ b/tests/fleet/BackendRegistryEraTests.cpp
@@ -631,3 +631,21 @@
     CHECK(fetcher.registry.expireKept(fetcher.clock.now()));
     CHECK(fetcher.used() == "a");
 }
+
+TEST_CASE("A node that starts 3 s after the era began uses a server that its peers know is gone")
+{
+    Restored with;
+    with.copy = with.store;
+    with.store.put("a", { "10.0.0.1", 7, 51, "draining" });
+    with.store.remove("b");
+    with.node.read(with.store);
+    with.restore();
+    with.store.put("c", { "10.0.0.4", 7, 1 });
+    Node started { with.clock };
+    started.note(1, {});
+    started.note(2, with.node.eraBegin);
+    with.clock.advance(3s);
+    started.registry.takeList(with.store.list());
+    started.take(with.node);
+    CHECK(started.used() == "a* c");
+}
