Test which item of the operators' document is which

OperatorDocument keeps configurations and evacuations by the keys that decodeOperators() reports; no test looked at them.

--- a/tests/platform/DocumentsTests.cpp
+++ b/tests/platform/DocumentsTests.cpp
@@ -178,6 +178,19 @@
     CHECK(state.configuration->limits.maxHeaderBytes == 100);
 }
 
+TEST_CASE("A kept configuration or evacuation can't be told from the other items of the operators' document")
+{
+    const OperatorState state
+        = decodeOperators(document({ { "op/config", R"({"version":"1","resources":[]})" }, { "op/configuration", "{}" },
+            { "op/evacuate/mvd-b", "{}" }, { "op/evacuate/gru-a", "" }, { "op/other", "{}" } }));
+    CHECK(state.configurationKey == "op/config");
+    CHECK(state.evacuationKeys
+        == std::map<DataCentreName, std::string> {
+            { DataCentreName("gru-a"), "op/evacuate/gru-a" }, { DataCentreName("mvd-b"), "op/evacuate/mvd-b" } });
+    CHECK(decodeOperators(document({ { "op/config", "?" } })).configurationKey == "op/config");
+    CHECK(decodeOperators(document({})).configurationKey.empty());
+}
+
 TEST_CASE("A malformed configuration is not returned, so that the current one stays")
 {
     for (const char* bad : { "", "{}", "not json", R"({"version":"zz","resources":[]})",
