Feed announcements with eras and documents with kept items to the decoders

The fuzz program knew neither. It now takes mutated documents as a node does that has history, in time and after it, keeps a configuration and an evacuation in force against any document of the operators, and passes on announcements.

--- a/tests/platform/fuzz/DecoderFuzz.cpp
+++ b/tests/platform/fuzz/DecoderFuzz.cpp
@@ -8,6 +8,8 @@
 #include "snipeweir/core/Cbor.h"
 #include "snipeweir/core/Random.h"
 #include "snipeweir/fleet/BackendRegistry.h"
+#include "snipeweir/fleet/OperatorDocument.h"
+#include "snipeweir/relay/PeerMessage.h"
 #include "tests/platform/OddEntries.h"
 
 #include <algorithm>
@@ -46,6 +48,17 @@
                                          .writeUnsigned(1)
                                          .take();
 
+const std::string validAnnouncement = [] {
+    PeerMessage message;
+    message.kind = PeerMessage::Kind::Announcement;
+    message.backends = { { Revision { 900 }, 3 }, 5 };
+    message.operators = { { Revision { 800 }, 2 }, 6 };
+    message.announcer = "10.0.0.1";
+    message.configuration = Revision { 28 };
+    message.eraAge = std::chrono::milliseconds(1500);
+    return message.encode();
+}();
+
 /// Derives odd inputs from valid ones.
 class Mutator {
 public:
@@ -154,16 +167,60 @@
     }
 }
 
-/// Takes a text that another node sent as a document.
-void takeDocument(const std::string& text)
+/// Takes a text that another node sent as a document, after the source was restored from a copy.
+void takeDocument(const std::string& text, Checks& checks)
 {
-    const ManualClock clock;
+    ManualClock clock;
     BackendRegistry registry(clock, BackendRegistry::Settings(), decodeBackend);
-    registry.takeDocument(Revision { 7 }, decodeItems(text));
-    registry.list();
-    registry.takeDocument(Revision { 8 }, registry.document([](const std::string&) { return false; }));
-    registry.takeList({ Revision { 9 }, {} });
-    registry.list();
+    registry.takeList({ { Revision { 90 }, 1 }, { { "servers/good", validEntry } } });
+    registry.setEraBegin(clock.now());
+    const auto check = [&] {
+        for (const BackendEntry& entry : registry.list().entries)
+            checks.require(isVisible(entry.instance) && entry.address.port != 0, "an entry of a document is whole");
+    };
+    registry.takeDocument({ Revision { 7 }, 2 }, decodeItems(text));
+    check();
+    registry.takeLost(decodeItems(text));
+    check();
+    registry.takeDocument({ Revision { 8 }, 2 }, registry.document([](const std::string&) { return false; }));
+    registry.takeList({ { Revision { 9 }, 2 }, {} });
+    check();
+    clock.advance(BackendRegistry::Settings().missingEntryGrace);
+    registry.expireKept(clock.now());
+    checks.require(registry.list().entries.empty(), "no kept entry outlives the time");
+}
+
+/// Takes a text that another node sent as the operators' document, while another one is in force.
+void takeOperators(const std::string& text, Checks& checks)
+{
+    OperatorDocument operators(decodeOperators);
+    operators.take(documentOf({ { "op/config", validConfiguration }, { "op/evacuate/a", "{}" } }), true);
+    operators.take({ { Revision { 5 }, 2 }, text }, true);
+    operators.take({ { Revision { 4 }, 2 }, text }, true);
+    checks.require(operators.configurationVersion() >= Revision { 0x1c }, "a configuration doesn't revert");
+    checks.require(operators.state().evacuated.contains(DataCentreName("a")), "an evacuation is kept");
+    OperatorDocument started(decodeOperators);
+    started.take({ operators.version(), operators.text() }, true);
+    checks.require(started.configurationVersion() == operators.configurationVersion()
+            && started.state().evacuated == operators.state().evacuated,
+        "the document for other nodes carries what is in force");
+}
+
+void takeAnnouncement(const std::string& bytes, Checks& checks)
+{
+    const auto message = PeerMessage::decode(bytes);
+    if (!message || message->kind != PeerMessage::Kind::Announcement)
+        return;
+    const auto again = PeerMessage::decode(message->encode());
+    checks.require(again && again->backends.version == message->backends.version
+            && again->operators.version == message->operators.version,
+        "the versions of an announcement are passed on");
+    const bool hasEras = message->backends.version.era != 0 || message->operators.version.era != 0;
+    checks.require(
+        !hasEras || (again && again->eraAge == message->eraAge && again->configuration == message->configuration),
+        "what an announcement says of the era is passed on");
+    checks.require(!message->eraAge || (message->eraAge->count() >= 0 && message->eraAge->count() <= 1LL << 40),
+        "the time since an era began is in range");
 }
 
 void checkConfiguration(const std::string& odd, Checks& checks)
@@ -209,12 +266,13 @@
 void checkStoreResponses(const std::string& page, const std::string& changes, Checks& checks)
 {
     if (const auto decoded = decodePage(page, maxBackendEntryBytes)) {
-        takeDocument(encodeItems(decoded->items));
+        takeDocument(encodeItems(decoded->items), checks);
         for (const SourceItem& item : decoded->items)
             checks.require(encodeKey(item.key).find_first_of(" &#\r\n") == std::string::npos, "a key is encoded");
     }
     if (const auto decoded = decodeChanges(changes, maxBackendEntryBytes))
-        takeDocument(encodeItems(applyChanges({ Revision { 7 }, { { "servers/good", validEntry } } }, *decoded).items));
+        takeDocument(
+            encodeItems(applyChanges({ Revision { 7 }, { { "servers/good", validEntry } } }, *decoded).items), checks);
 }
 
 void checkSettings(const std::string& odd, Checks& checks)
@@ -253,10 +311,13 @@
         checkSettings(mutator.mutate(validSettings), checks);
         // A document that another node sent.
         SourceDocument document = documentOf({ { "servers/good", validEntry }, { "copy/servers/other", validEntry },
-            { "gone/servers/b", removedItemValue }, { "op/config", validConfiguration } });
+            { "gone/servers/b", removedItemValue }, { "kept/servers/c", validEntry },
+            { "op/config", validConfiguration }, { "kept/op/evacuate/b", "{}" } });
         document.text = mutator.mutate(document.text);
-        takeDocument(document.text);
+        takeDocument(document.text, checks);
         decodeOperators(document);
+        takeOperators(document.text, checks);
+        takeAnnouncement(mutator.mutate(validAnnouncement), checks);
     }
     std::cout << "seed " << seed << ", " << iteration
               << " iterations: " << (checks.failure().empty() ? "all checks held" : "broken: " + checks.failure())
