Let a kept entry neither become a copy nor make one

Seen: a unit test. A kept entry that lost its address became a copy, which is said to be in the store: each full read asked for the changes once more, and the entry outlived its time once the server had confirmed it.

Change: a kept entry that loses its address stays kept without being used, and an entry of the store that loses to it isn't a copy.

Tests of the registry count instances that are kept.

--- a/snipeweir/fleet/BackendRegistry.cpp
+++ b/snipeweir/fleet/BackendRegistry.cpp
@@ -519,26 +519,26 @@
 
 void BackendRegistry::resolveAddresses()
 {
-    std::map<Address, std::map<std::string, Record>::iterator> holders;
-    for (auto current = m_records.begin(); current != m_records.end(); ++current) {
-        Record& record = current->second;
+    std::map<Address, Record*> holders;
+    std::set<const Record*> displaced;
+    for (auto& [key, record] : m_records) {
         if (record.state == State::Copy && isConfirmed(record))
             record.state = State::InUse;
         if (!isUsed(record) || !isKnownService(record.entry.service))
             continue;
-        const auto [found, isFirst] = holders.emplace(record.entry.address, current);
+        const auto [found, isFirst] = holders.emplace(record.entry.address, &record);
         if (isFirst)
             continue;
-        auto loser = current;
-        if (precedes(record, found->second->second))
+        Record* loser = &record;
+        if (precedes(record, *found->second))
             std::swap(loser, found->second);
-        if (loser->second.state == State::Kept)
-            setRemoved(loser->first, loser->second);
-        else
-            loser->second.state = State::Copy;
+        displaced.insert(loser);
+        // A kept entry isn't in the source, so it can't be a copy there, nor does it make one of an entry that is.
+        if (loser->state != State::Kept && found->second->state != State::Kept)
+            loser->state = State::Copy;
     }
     for (auto& [key, record] : m_records) {
-        record.isHolder = isUsed(record);
+        record.isHolder = isUsed(record) && !displaced.contains(&record);
         record.wasListed = record.wasListed || record.isHolder;
     }
 }
@@ -550,7 +550,7 @@
     for (const auto& [key, record] : m_records) {
         if (record.isRemovalConfirmed)
             list.removed.insert(record.entry.instance);
-        if (isUsed(record))
+        if (record.isHolder)
             list.entries.push_back(record.entry);
         else if (record.state == State::Malformed)
             list.skipped.push_back({ key, record.fault, std::hash<std::string>()(record.value) });
--- a/tests/fleet/BackendRegistryEraTests.cpp
+++ b/tests/fleet/BackendRegistryEraTests.cpp
@@ -137,7 +137,7 @@
     Restored with;
     with.restore();
     CHECK(with.node.used() == "a b");
-    CHECK(with.node.registry.keptCount() == 1);
+    CHECK(with.node.registry.keptInstances().size() == 1);
     CHECK(with.node.registry.nextExpiry() == with.node.eraBegin + 2200ms);
     with.clock.advance(2s);
     with.node.registry.takeList(with.store.list());
@@ -148,7 +148,7 @@
     CHECK(with.node.used() == "a b");
     CHECK(with.node.registry.expireKept(with.node.eraBegin + 2200ms));
     CHECK(with.node.used() == "a");
-    CHECK(with.node.registry.keptCount() == 0);
+    CHECK(with.node.registry.keptInstances().size() == 0);
     CHECK_FALSE(with.node.registry.nextExpiry());
     // It is gone now.
     with.store.put("b", with.b(50));
@@ -164,11 +164,11 @@
     Restored with;
     with.copy = with.store;
     with.restore();
-    CHECK(with.node.registry.keptCount() == 0);
+    CHECK(with.node.registry.keptInstances().size() == 0);
     with.store.remove("b");
     with.node.read(with.store);
     CHECK(with.node.used() == "a b");
-    CHECK(with.node.registry.keptCount() == 1);
+    CHECK(with.node.registry.keptInstances().size() == 1);
     with.clock.advance(2200ms);
     with.node.read(with.store);
     CHECK(with.node.used() == "a");
@@ -182,7 +182,7 @@
         with.store.put("b", with.b(sequence));
         with.node.read(with.store);
         CHECK(with.node.used() == "a b");
-        CHECK(with.node.registry.keptCount() == 0);
+        CHECK(with.node.registry.keptInstances().size() == 0);
         SUBCASE("")
         {
             with.store.remove("b");
@@ -246,7 +246,7 @@
     CHECK(entries[0].sequence == 51);
     CHECK(entries[1].startedAtMs == 8);
     CHECK(entries[1].address.ip == "10.0.0.3");
-    CHECK(with.node.registry.keptCount() == 0);
+    CHECK(with.node.registry.keptInstances().size() == 0);
     // The document of a node that knows only the copy.
     Node started { with.clock };
     started.read(with.store);
@@ -296,7 +296,7 @@
     {
         started.era = 1;
         started.take(with.node);
-        CHECK(started.registry.keptCount() == 1);
+        CHECK(started.registry.keptInstances().size() == 1);
     }
     SUBCASE("and has read the source")
     {
@@ -467,7 +467,7 @@
     with.node.read(with.store);
     fetcher.take(with.node);
     CHECK(fetcher.used() == "a b");
-    CHECK(fetcher.registry.keptCount() == 0);
+    CHECK(fetcher.registry.keptInstances().size() == 0);
     with.clock.advance(100ms);
     with.store.remove("b");
     with.node.read(with.store);
@@ -498,7 +498,7 @@
         with.node.registry.takeList(with.store.list());
     }
     CHECK(with.node.used() == "a b");
-    CHECK(with.node.registry.keptCount() == 1);
+    CHECK(with.node.registry.keptInstances().size() == 1);
 }
 
 TEST_CASE("A kept entry counts as one of the source, and outlives its time, once another node knows a later write")
@@ -509,7 +509,7 @@
     with.node.registry.takeList(with.store.list());
     with.node.registry.takeLost({ { "kept/b", text(with.b(51)) } });
     CHECK(with.node.used() == "a b");
-    CHECK(with.node.registry.keptCount() == 1);
+    CHECK(with.node.registry.keptInstances().size() == 1);
     with.clock.advance(2200ms);
     with.node.registry.expireKept(with.clock.now());
     CHECK(with.node.used() == "a");
@@ -573,7 +573,7 @@
     with.store.put("b", with.b(49));
     with.node.read(with.store);
     CHECK(with.node.used() == "a b");
-    CHECK(with.node.registry.keptCount() == 0);
+    CHECK(with.node.registry.keptInstances().size() == 0);
     with.clock.advance(2200ms);
     with.node.read(with.store);
     CHECK(with.node.used() == "a b");
@@ -593,7 +593,7 @@
     CHECK(with.node.registry.list().skipped.empty());
     with.node.registry.confirm({ "10.0.0.2", 0 }, "b");
     CHECK(with.node.used() == "a b");
-    CHECK(with.node.registry.keptCount() == 1);
+    CHECK(with.node.registry.keptInstances().size() == 1);
     with.clock.advance(2200ms);
     with.node.read(with.store);
     CHECK(with.node.used() == "a c");
