--- a/tests/fleet/BackendRegistryEraTests.cpp
+++ b/tests/fleet/BackendRegistryEraTests.cpp
@@ -649,3 +649,26 @@
     started.take(with.node);
     CHECK(started.used() == "a* c");
 }
+
+TEST_CASE("A server that is known to be gone is used as a node that missed its removal keeps it")
+{
+    Restored with;
+    Node behind { with.clock };
+    behind.read(with.store);
+    with.store.remove("b");
+    with.node.read(with.store);
+    with.clock.advance(10s);
+    with.store.restore(with.copy);
+    behind.read(with.store);
+    CHECK(behind.registry.keptCount() == 1);
+    with.clock.advance(100ms);
+    SUBCASE("in a document") { }
+    SUBCASE("in an older document")
+    {
+        with.store.put("a", { "10.0.0.1", 7, 51 });
+        with.node.read(with.store);
+    }
+    with.node.take(behind);
+    CHECK(with.node.used() == "a");
+    CHECK(with.node.registry.keptCount() == 0);
+}
