Count the instances that are kept in a test of BackendRegistry

BackendRegistry names them now, and had a function that counted them when the test was written. The checks are the same; test-fleet passes with it.

--- a/tests/fleet/BackendRegistryEraTests.cpp
+++ b/tests/fleet/BackendRegistryEraTests.cpp
@@ -660,7 +660,7 @@
     with.clock.advance(10s);
     with.store.restore(with.copy);
     behind.read(with.store);
-    CHECK(behind.registry.keptCount() == 1);
+    CHECK(behind.registry.keptInstances().size() == 1);
     with.clock.advance(100ms);
     SUBCASE("in a document") { }
     SUBCASE("in an older document")
@@ -670,5 +670,5 @@
     }
     with.node.take(behind);
     CHECK(with.node.used() == "a");
-    CHECK(with.node.registry.keptCount() == 0);
+    CHECK(with.node.registry.keptInstances().size() == 0);
 }
