Restore the store from a copy in the soak, and check that nothing goes back

Change: a restore from a copy of 0.1 to 8 s before, away 0.3 to 2 s, at times twice in a row and beside all other faults. Lost writes are repeated within 0.2 to 2 s of the return; removed entries stay in the copy for up to a lease. Servers write heartbeats, entries are removed without a report, configurations remove routes. New checks: no process goes back to a configuration before one whose effect was seen, whatever is faulty; a route is served 2.5 s after it was added at each node that is undisturbed; after all faults the store is restored once more and an added route must be served at every node, and a drained server get nothing. Checks of store faults are excused as before: store faults follow each other now, so that one doesn't end another or shorten its time. test_soak_checker.py has a test for each new check.

--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -158,6 +158,7 @@
         self.history_start = 0
         self.era = None  # The era that all responses name, if any.
         self.copy = None
+        self.lost = {}  # key -> value, or None if removed: writes that restores have lost and nobody has repeated
         self.connections = set()
         self.mode = "ok"
         self.request_count = 0
@@ -168,12 +169,19 @@
         self.server = await asyncio.start_server(self.serve, self.ip, port, backlog=512)
 
     def put(self, key, value):
+        self.lost.pop(key, None)
+        if self.mode == "reset":
+            self.lost[key] = value
+            return
         self.revision += 1
         self.items[key] = (value, self.revision)
         self.changes.append((key, self.revision, value))
 
     def remove(self, key):
-        if self.items.pop(key, None):
+        self.lost.pop(key, None)
+        if self.mode == "reset":
+            self.lost[key] = None
+        elif self.items.pop(key, None):
             self.revision += 1
             self.changes.append((key, self.revision, None))
 
@@ -187,11 +195,14 @@
         self.copy = (dict(self.items), self.revision, list(self.changes), self.history_start)
 
     async def restore_copy(self, away):
-        """Resets all connections for some seconds, then serves the saved copy in the next era."""
+        """Resets all connections for some seconds, then serves the saved copy in the next era. Writes meanwhile are
+        lost too."""
         self.mode = "reset"
         for writer in list(self.connections):
             reset(writer)
-        items, self.revision, changes, self.history_start = self.copy
+        items, revision, changes, self.history_start = self.copy
+        self.lost |= {key: value for key, written_at, value in self.changes if written_at > revision}
+        self.revision = revision
         self.items, self.changes = dict(items), list(changes)
         self.era = (self.era or 0) + 1
         await asyncio.sleep(away)
--- a/tests/relay/soak.py
+++ b/tests/relay/soak.py
@@ -17,11 +17,14 @@
 from odd_entries import odd_values  # noqa: E402
 
 # Time limits of the simulated deployment, in seconds. They are not checked until SETTLE after the end of a fault.
-DRAIN, EVACUATE, SETTLE, GRACE = 2.0, 5.0, 3.0, 6.0
+DRAIN, EVACUATE, APPLY, SETTLE, GRACE = 2.0, 5.0, 2.5, 3.0, 6.0
 COLD_PER_SECOND = 11 * 1.5 + 5
 # Seconds from the first response with a rate limit until it binds, and the window in which requests are counted.
 LIMIT_SETTLE, LIMIT_WINDOW = 3.0, 4.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Seconds between writes of a server's entry, and after a restore until lost writes are repeated; an entry that was
+# removed stays until its lease has ended.
+HEARTBEAT, REPEAT_WRITES, LEASE = (1.0, 1.5), (0.2, 2.0), 4.5
 
 
 class Soak:
@@ -33,8 +36,13 @@
         self.store_faulted_until = 0.0
         self.backend_cut_until = {node.index: 0.0 for node in fleet.nodes}
         self.evacuated = None  # The zone that is evacuated.
-        self.served_routes = {}  # (node, pid) -> route numbers served
-        self.routes = 0
+        self.configurations_seen = {}  # (node, pid) -> number of the latest configuration whose effect was seen
+        self.routes = 0  # Configurations so far; each adds the route of its number.
+        self.removed_routes = {}  # Route number -> number of the configuration that removed it
+        self.left = set()  # Nodes whose servers write no entry.
+        self.store_faults = asyncio.Lock()
+        self.restores = 0
+        self.repeats = []  # Tasks that write again what restores have lost.
         self.requests = 0
         self.ended_on_purpose = set()  # Processes that this test has ended, or told to stop.
 
@@ -92,18 +100,33 @@
             if not self.routes:
                 continue
             number = self.random.randint(1, self.routes)
-            process = node.process
-            try:
-                response = await self.fleet.send(node, "GET", f"/v{number}/x", deadline=1000)
-            except (OSError, asyncio.TimeoutError):
-                continue
-            if response is None or node.process is not process:
-                continue
-            served = self.served_routes.setdefault((node.index, process.pid), set())
-            if response.status == 200:
-                served.add(number)
-            elif response.status == 404 and number in served:
-                self.report_violation(f"node {node.index} answered 404 for route {number} that it had served")
+            await self.ask_for_route(node, number)
+
+    async def ask_for_route(self, node, number):
+        """Returns the status of a request to a route, or None, and checks that the process doesn't go back to a
+        configuration before one whose effect was seen."""
+        process = node.process
+        key = (node.index, process.pid)
+        seen = self.configurations_seen.get(key, 0)
+        try:
+            response = await self.fleet.send(node, "GET", f"/v{number}/x", deadline=1000)
+        except (OSError, asyncio.TimeoutError):
+            return None
+        if response is None or node.process is not process:
+            return None
+        removed_by = self.removed_routes.get(number)
+        effect = 0
+        if response.status == 200:
+            effect = number
+            if removed_by and seen >= removed_by:
+                self.report_violation(f"node {node.index} served route {number} again after it had been removed")
+        elif response.status == 404 and seen >= number:
+            effect = removed_by or 0
+            if not removed_by:
+                self.report_violation(
+                    f"node {node.index} answered 404 for route {number} that it had served, or a later one")
+        self.configurations_seen[key] = max(self.configurations_seen.get(key, 0), effect)
+        return response.status
 
     # Faults.
 
@@ -129,10 +152,60 @@
 
     async def store_mode(self, _):
         seconds = self.random.uniform(0.3, 3)
-        self.store_faulted_until = time.monotonic() + seconds + SETTLE
-        self.fleet.store.mode = self.random.choice(["silent", "refuse"])
-        await asyncio.sleep(seconds)
-        self.fleet.store.mode = "ok"
+        mode = self.random.choice(["silent", "refuse"])
+        async with self.store_faults:
+            self.store_faulted_until = time.monotonic() + seconds + SETTLE
+            self.fleet.store.mode = mode
+            await asyncio.sleep(seconds)
+            self.fleet.store.mode = "ok"
+
+    async def restore(self, _):
+        """The store is restored from a copy, at times twice in a row, from the same copy or a new one."""
+        self.fleet.store.save_copy()
+        saved_at = time.monotonic()
+        await asyncio.sleep(self.random.uniform(0.1, 8))
+        await self.restore_copy(saved_at)
+        if self.random.random() < 0.3:
+            if self.random.random() < 0.5:
+                self.fleet.store.save_copy()
+                saved_at = time.monotonic()
+            await asyncio.sleep(self.random.uniform(0.1, 3))
+            await self.restore_copy(saved_at)
+
+    async def restore_copy(self, saved_at):
+        away = self.random.uniform(0.3, 2)
+        async with self.store_faults:
+            self.restores += 1
+            begin = time.monotonic()
+            revision = self.fleet.store.revision
+            self.store_faulted_until = begin + away + SETTLE
+            await self.fleet.store.restore_copy(away)
+            self.store_faulted_until = time.monotonic() + SETTLE
+        print(f"{time.monotonic() - self.start:6.2f} s restored from a copy of {begin - saved_at:.2f} s before, away "
+              f"{away:.2f} s, era {self.fleet.store.era}, revision {revision} to {self.fleet.store.revision}, lost "
+              f"{', '.join(sorted(self.fleet.store.lost))}", flush=True)
+        for key, value in list(self.fleet.store.lost.items()):
+            is_removed_entry = key.startswith("servers/") and value is None
+            delay = self.random.uniform(REPEAT_WRITES[0], LEASE if is_removed_entry else REPEAT_WRITES[1])
+            self.repeats.append(asyncio.ensure_future(self.repeat_write(key, delay)))
+
+    async def repeat_write(self, key, delay):
+        """Writes again what a restore has lost, unless its writer has written the key since."""
+        await asyncio.sleep(delay)
+        if key not in self.fleet.store.lost or self.fleet.store.mode == "reset":
+            return
+        value = self.fleet.store.lost[key]
+        if value is None:
+            self.fleet.store.remove(key)
+        else:
+            self.fleet.store.put(key, value)
+
+    async def write_heartbeats(self, node):
+        rng = random.Random(node.index)
+        while True:
+            await asyncio.sleep(rng.uniform(*HEARTBEAT))
+            if node not in self.left and self.fleet.store.mode != "reset":
+                self.fleet.register(node, "draining" if node.backend.has_drained else "ready")
 
     async def pause(self, node):
         seconds = self.random.uniform(0.2, 2)
@@ -171,6 +244,18 @@
         self.fleet.register(node, "draining")
         await self.check_no_arrivals([node.backend], DRAIN, lambda: self.fleet.register(node))
 
+    async def deregister(self, node):
+        """The entry of a server is removed without a report that it drains, and the server starts anew later."""
+        self.left.add(node)
+        self.fleet.store.remove(f"servers/{node.backend.instance}")
+
+        def start_anew():
+            self.left.discard(node)
+            node.backend.born += 1
+            self.fleet.register(node)
+
+        await self.check_no_arrivals([node.backend], DRAIN, start_anew)
+
     async def evacuate(self, node):
         if self.evacuated:
             return
@@ -193,11 +278,26 @@
                     f"{len(late)} requests reached {backend.instance} {bound} s after it was taken out of service")
         reopen()
 
-    async def configure(self, _):
+    def add_route(self):
+        """Adds a route and removes another one at times. Returns the number of the route that was added."""
         self.routes += 1
+        if self.routes > 1 and self.random.random() < 0.3:
+            self.removed_routes.setdefault(self.random.randint(1, self.routes - 1), self.routes)
         routes = [self.fleet.route("/s/", "safe", "one"), self.fleet.route("/u/", "unsafe", "one")]
-        routes += [self.fleet.route(f"/v{number}/", "safe", "one") for number in range(1, self.routes + 1)]
+        routes += [self.fleet.route(f"/v{number}/", "safe", "one") for number in range(1, self.routes + 1)
+                   if number not in self.removed_routes]
         self.fleet.configure(routes)
+        return self.routes
+
+    async def configure(self, _):
+        number = self.add_route()
+        requested_at = time.monotonic()
+        await asyncio.sleep(APPLY)
+        for node in self.fleet.nodes:
+            status = await self.ask_for_route(node, number)
+            is_undisturbed = max(self.store_faulted_until, self.faulted_until[node.index]) < requested_at
+            if status == 404 and number not in self.removed_routes and is_undisturbed:
+                self.report_violation(f"node {node.index} answered 404 for route {number} {APPLY} s after it was added")
 
     async def cold(self, node):
         node.backend.cold_until = time.monotonic() + 2
@@ -253,14 +353,15 @@
     async def inject_faults(self):
         kinds = [self.backend_mode, self.proxy_mode, self.store_mode, self.pause, self.kill, self.stop, self.reload,
                  self.drain, self.evacuate, self.configure, self.cold, self.leave, self.limit,
-                 self.odd_entry]
-        busy, limited, tasks = set(), set(), []
+                 self.odd_entry, self.restore, self.deregister]
+        busy, limited, restoring, tasks = set(), set(), set(), []
         while time.monotonic() < self.end - 1:
             await asyncio.sleep(self.random.uniform(0.05, 0.8))
             kind, node = self.random.choice(kinds), self.random.choice(self.fleet.nodes)
-            # Faults of one node follow each other, except that they may fall into the time of a rate limit.
-            group = limited if kind == self.limit else busy
-            if node.index in group:
+            # Faults of one node follow each other, except that they may fall into the time of a rate limit or into that
+            # of a restore, of which there is one at a time.
+            group = limited if kind == self.limit else restoring if kind == self.restore else busy
+            if node.index in group or (group is restoring and restoring):
                 continue
             group.add(node.index)
             print(f"{time.monotonic() - self.start:6.2f} s {kind.__name__} node {node.index}", flush=True)
@@ -289,9 +390,11 @@
             self.report_violation(f"{arrivals} arrivals for {self.requests} requests exceed the retry budget")
 
     async def run(self):
+        self.fleet.store.era = self.random.randint(1, 9)
         await self.fleet.start()
         for node in self.fleet.nodes:
             node.backend.echoes_request_id = True
+        heartbeats = [asyncio.ensure_future(self.write_heartbeats(node)) for node in self.fleet.nodes]
         self.start = time.monotonic()
         self.end = self.start + self.seconds
         callers = [self.caller(node, node.index * 10 + i) for node in self.fleet.nodes for i in range(3)]
@@ -299,8 +402,12 @@
         await asyncio.sleep(1.6)  # Longer than the deadline of all requests, so that none still runs.
         self.check_runs()
         await self.recover()
+        await self.check_changes()
+        for task in heartbeats:
+            task.cancel()
         served = sum(status == 200 for _, _, status in self.responses)
-        print(f"{self.requests} requests, {served} served, {len(self.violations)} guarantees violated", flush=True)
+        print(f"{self.requests} requests, {served} served, {self.restores} restores, {len(self.violations)} guarantees "
+              "violated", flush=True)
 
     async def recover(self):
         try:
@@ -313,6 +420,46 @@
         if served * 2 < len(responses):
             self.report_violation(f"after all faults only {served} of {len(responses)} requests are served")
 
+    async def check_changes(self):
+        """Restores the store a last time and checks that later changes take effect in time. No other fault overlaps."""
+        await self.settle()
+        restore = asyncio.ensure_future(self.restore(None))
+        await asyncio.sleep(0.05)
+        lost = self.add_route()
+        while not restore.done():
+            await asyncio.gather(*(self.ask_for_route(node, lost) for node in self.fleet.nodes), asyncio.sleep(0.2))
+        await restore
+        await self.check_added_route()
+        await asyncio.gather(*self.repeats)
+        await self.settle()
+        await self.check_drained_server()
+
+    async def settle(self):
+        settled_at = max(self.store_faulted_until, *self.faulted_until.values())
+        await asyncio.sleep(max(0.0, settled_at - time.monotonic()))
+
+    async def check_added_route(self):
+        number = self.add_route()
+        await asyncio.sleep(APPLY)
+        await self.settle()
+        for node in self.fleet.nodes:
+            status = await self.ask_for_route(node, number)
+            if status != 200:
+                self.report_violation(f"after all faults node {node.index} answered {status} for an added route")
+            for other in set(range(1, number)) - self.removed_routes.keys():
+                await self.ask_for_route(node, other)
+
+    async def check_drained_server(self):
+        drained = self.fleet.nodes[0]
+        self.fleet.register(drained, "draining")
+        await asyncio.sleep(DRAIN)
+        begin = time.monotonic()
+        for _ in range(4):
+            await asyncio.gather(*(self.fleet.send(node, "GET", "/s/x") for node in self.fleet.nodes for _ in range(4)))
+        late = [arrival for arrival in drained.backend.arrivals if arrival[0] > begin]
+        if late:
+            self.report_violation(f"after all faults {len(late)} requests reached a drained server")
+
 
 async def main():
     parser = argparse.ArgumentParser(description=__doc__)
--- a/tests/relay/test_soak_checker.py
+++ b/tests/relay/test_soak_checker.py
@@ -45,13 +45,20 @@
 class FakeFleet:
     def __init__(self):
         self.nodes = [FakeNode(0), FakeNode(1)]
-        self.store = types.SimpleNamespace(put=lambda *_: None, remove=lambda *_: None)
+        self.store = Store("127.0.0.1")
         self.responses = []
         self.count = 0
 
     def register(self, *_):
         pass
 
+    @staticmethod
+    def route(prefix, *_):
+        return prefix
+
+    def configure(self, routes):
+        self.store.put("op/config", " ".join(routes).encode())
+
     def new_id(self):
         self.count += 1
         return f"id{self.count:08d}"
@@ -194,6 +201,98 @@
         await self.soak.check_routes(self.node)
         self.assertViolation("answered 404 for route 1")
 
+    async def test_a_return_to_an_earlier_configuration(self):
+        self.soak.routes = 2
+        self.fleet.responses = [Response(200, {}, b"", True), Response(404, {}, b"", True)]
+        await self.soak.ask_for_route(self.node, 2)
+        await self.soak.ask_for_route(self.node, 1)
+        self.assertViolation("answered 404 for route 1 that it had served, or a later one")
+
+    async def test_a_removed_route_that_comes_back(self):
+        self.soak.routes, self.soak.removed_routes = 2, {1: 2}
+        self.fleet.responses = [Response(status, {}, b"", True) for status in (404, 200, 404, 200)]
+        for _ in range(3):
+            await self.soak.ask_for_route(self.node, 1)
+            self.assertEqual(self.soak.violations, [])
+        await self.soak.ask_for_route(self.node, 1)
+        self.assertViolation("served route 1 again after it had been removed")
+
+    async def test_a_removed_route_that_comes_back_after_a_later_one_was_served(self):
+        self.soak.routes, self.soak.removed_routes = 2, {1: 2}
+        self.fleet.responses = [Response(200, {}, b"", True), Response(200, {}, b"", True)]
+        await self.soak.ask_for_route(self.node, 2)
+        await self.soak.ask_for_route(self.node, 1)
+        self.assertViolation("served route 1 again after it had been removed")
+
+    async def test_a_route_that_is_served_late(self):
+        saved, soak_module.APPLY = soak_module.APPLY, 0.1
+        self.fleet.responses = [Response(404, {}, b"", True), Response(200, {}, b"", True)]
+        await self.soak.configure(self.node)
+        soak_module.APPLY = saved
+        self.assertViolation("node 0 answered 404 for route 1 0.1 s after it was added")
+
+    async def test_a_server_that_gets_requests_after_its_entry_was_removed(self):
+        saved, soak_module.DRAIN = soak_module.DRAIN, 0.1
+        task = asyncio.ensure_future(self.soak.deregister(self.node))
+        await asyncio.sleep(0.5)
+        self.assertIn(self.node, self.soak.left)
+        self.ran(self.node, "late")
+        await task
+        soak_module.DRAIN = saved
+        self.assertNotIn(self.node, self.soak.left)
+        self.assertViolation("after it was taken out of service")
+
+    async def test_a_server_that_says_that_it_leaves_while_the_store_is_restored(self):
+        saved, soak_module.DRAIN = soak_module.DRAIN, 0.1
+        self.soak.random = types.SimpleNamespace(choice=lambda options: options[0], uniform=lambda low, _: low)
+        self.fleet.store.save_copy()
+        task = asyncio.ensure_future(self.soak.leave(self.node))
+        await self.soak.restore_copy(time.monotonic())
+        await asyncio.sleep(0.3)
+        self.ran(self.node, "late")
+        await task
+        soak_module.DRAIN = saved
+        self.assertViolation("after it said that it leaves")
+
+    async def test_an_added_route_that_is_not_served_after_all_faults(self):
+        saved, soak_module.APPLY = soak_module.APPLY, 0.1
+        self.fleet.responses = [Response(200, {}, b"", True), Response(404, {}, b"", True)]
+        await self.soak.check_added_route()
+        soak_module.APPLY = saved
+        self.assertViolation("after all faults node 1 answered 404 for an added route")
+
+    async def test_requests_at_a_drained_server_after_all_faults(self):
+        saved, soak_module.DRAIN = soak_module.DRAIN, 0.1
+
+        async def send(*_):
+            self.ran(self.node, "late")
+
+        self.fleet.send = send
+        await self.soak.check_drained_server()
+        soak_module.DRAIN = saved
+        self.assertViolation("after all faults 32 requests reached a drained server")
+
+    async def test_what_the_simulated_store_loses_is_written_again(self):
+        store = self.fleet.store
+        self.soak.random = types.SimpleNamespace(uniform=lambda low, _: low)
+        store.put("kept", b"1")
+        store.put("removed", b"1")
+        store.save_copy()
+        store.put("changed", b"1")
+        store.remove("removed")
+        store.put("renewed", b"1")
+        restore = asyncio.ensure_future(self.soak.restore_copy(time.monotonic()))
+        await asyncio.sleep(0.1)
+        store.put("written while away", b"1")
+        await restore
+        self.assertEqual((sorted(store.items), store.revision, store.era), (["kept", "removed"], 3, 1))
+        store.put("renewed", b"2")
+        await asyncio.gather(*self.soak.repeats)
+        self.assertEqual(
+            {key: value for key, (value, _) in store.items.items()},
+            {"kept": b"1", "changed": b"1", "renewed": b"2", "written while away": b"1"})
+        self.assertEqual(store.lost, {})
+
     async def test_a_process_that_ends_by_itself(self):
         self.soak.end = time.monotonic() + 0.2
         self.node.process.returncode = -6
