Excuse late requests in the soak only by faults of the nodes on their way

Change: the soak remembers which node took a request from its caller. A late request is excused by a fault of that node, of the node beside the server or of the store; one of unknown origin by any fault, as before.

Result: the 29 tests of test_soak_checker.py pass; the new one fails without the change.

--- a/tests/relay/soak.py
+++ b/tests/relay/soak.py
@@ -32,6 +32,7 @@
         self.fleet, self.random, self.seconds = fleet, random.Random(seed), seconds
         self.violations = []
         self.responses = []  # (id, is_unsafe, status)
+        self.origins = {}  # id -> index of the node that took the request from its caller
         self.faulted_until = {node.index: 0.0 for node in fleet.nodes}
         self.store_faulted_until = 0.0
         self.backend_cut_until = {node.index: 0.0 for node in fleet.nodes}
@@ -63,15 +64,16 @@
                 await asyncio.sleep(0.2)
                 continue
             try:
-                while time.monotonic() < self.end and await self.one_request(rng, reader, writer):
+                while time.monotonic() < self.end and await self.one_request(rng, reader, writer, node):
                     await asyncio.sleep(rng.uniform(0.01, 0.1))
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
                 pass
             writer.close()
 
-    async def one_request(self, rng, reader, writer):
+    async def one_request(self, rng, reader, writer, node):
         is_unsafe = rng.random() < 0.4
         request_id = self.fleet.new_id()
+        self.origins[request_id] = node.index
         self.requests += 1
         method, path = ("POST", "/u/x") if is_unsafe else ("GET", "/s/x")
         writer.write(f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {request_id}\r\n"
@@ -242,7 +244,7 @@
 
     async def drain(self, node):
         self.fleet.register(node, "draining")
-        await self.check_no_arrivals([node.backend], DRAIN, lambda: self.fleet.register(node))
+        await self.check_no_arrivals([node], DRAIN, lambda: self.fleet.register(node))
 
     async def deregister(self, node):
         """The entry of a server is removed without a report that it drains, and the server starts anew later."""
@@ -254,28 +256,30 @@
             node.backend.born += 1
             self.fleet.register(node)
 
-        await self.check_no_arrivals([node.backend], DRAIN, start_anew)
+        await self.check_no_arrivals([node], DRAIN, start_anew)
 
     async def evacuate(self, node):
         if self.evacuated:
             return
         self.evacuated = node.zone
         self.fleet.store.put(f"op/evacuate/{node.zone}", b"{}")
-        backends = [other.backend for other in self.fleet.nodes if other.zone == node.zone]
-        await self.check_no_arrivals(backends, EVACUATE, lambda: self.fleet.store.remove(f"op/evacuate/{node.zone}"))
+        nodes = [other for other in self.fleet.nodes if other.zone == node.zone]
+        await self.check_no_arrivals(nodes, EVACUATE, lambda: self.fleet.store.remove(f"op/evacuate/{node.zone}"))
         self.evacuated = None
 
-    async def check_no_arrivals(self, backends, bound, reopen):
-        """Checks that no request arrives from the time limit on, unless the store or a node was faulty meanwhile."""
+    async def check_no_arrivals(self, nodes, bound, reopen):
+        """Checks that no request arrives from the time limit on, unless the store or a node on its way was faulty
+        meanwhile."""
         requested_at = time.monotonic()
         await asyncio.sleep(bound + 1)
         until = time.monotonic()
-        is_undisturbed = max(self.store_faulted_until, *self.faulted_until.values()) < requested_at
-        for backend in backends:
-            late = [a for a in backend.arrivals if requested_at + bound < a[0] < until]
-            if is_undisturbed and late:
+        faulted = {index for index, faulted_until in self.faulted_until.items() if faulted_until >= requested_at}
+        for node in nodes:
+            late = [a for a in node.backend.arrivals if requested_at + bound < a[0] < until
+                    and not faulted & {node.index, *([self.origins[a[1]]] if a[1] in self.origins else faulted)}]
+            if late and self.store_faulted_until < requested_at:
                 self.report_violation(
-                    f"{len(late)} requests reached {backend.instance} {bound} s after it was taken out of service")
+                    f"{len(late)} requests reached {node.backend.instance} {bound} s after it was taken out of service")
         reopen()
 
     def add_route(self):
--- a/tests/relay/test_soak_checker.py
+++ b/tests/relay/test_soak_checker.py
@@ -95,7 +95,7 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
-        await self.soak.one_request(random.Random(5), reader, writer)
+        await self.soak.one_request(random.Random(5), reader, writer, self.node)
         writer.close()
         server.close()
 
@@ -242,6 +242,21 @@
         self.assertNotIn(self.node, self.soak.left)
         self.assertViolation("after it was taken out of service")
 
+    async def test_requests_at_a_drained_server_are_excused_by_faults_of_nodes_on_their_way_only(self):
+        saved, soak_module.DRAIN = soak_module.DRAIN, 0.1
+        other = self.fleet.nodes[1]
+        for faulted, origin, is_excused in ((other, other, True), (other, self.node, False), (self.node, other, True)):
+            self.soak.violations.clear()
+            self.soak.faulted_until = {node.index: 0.0 for node in self.fleet.nodes}
+            self.soak.mark_faulted(faulted)
+            self.soak.origins = {"late": origin.index}
+            task = asyncio.ensure_future(self.soak.drain(self.node))
+            await asyncio.sleep(0.5)
+            self.ran(self.node, "late")
+            await task
+            self.assertEqual(self.soak.violations == [], is_excused)
+        soak_module.DRAIN = saved
+
     async def test_a_server_that_says_that_it_leaves_while_the_store_is_restored(self):
         saved, soak_module.DRAIN = soak_module.DRAIN, 0.1
         self.soak.random = types.SimpleNamespace(choice=lambda options: options[0], uniform=lambda low, _: low)
