Show in snipeweirctl trace that the store was restored from a copy

Versions in the logs are era/revision now; trace printed backends_revision=5/1790 without a word on why a lower revision is the later one.

Cause: trace takes only lines with the request's id; source_era_changed has none.

Change: EraChanges reads these lines. Those of the request's nodes are printed among the steps if the change falls into the request's time or the 5 s before (for which evacuations that the store lost are kept); a sentence, and era_changes in JSON, says for each era how many nodes took it and when. Malformed versions are passed over.

No reader in scripts/, programs/ or tests/ takes revision or backends_revision as a number (searched by the names of fields and events).

--- a/programs/snipeweirctl/FileCommands.cpp
+++ b/programs/snipeweirctl/FileCommands.cpp
@@ -1,6 +1,7 @@
 #include "programs/snipeweirctl/FileCommands.h"
 
 #include "platform/ConfigurationCheck.h"
+#include "programs/snipeweirctl/EraChanges.h"
 #include "programs/snipeweirctl/JsonOutput.h"
 #include "programs/snipeweirctl/TablePrinter.h"
 #include "snipeweir/configuration/ConfigurationDiff.h"
@@ -8,7 +9,9 @@
 #include "snipeweir/configuration/TextFile.h"
 #include "snipeweir/telemetry/RequestTrace.h"
 
+#include <algorithm>
 #include <fstream>
+#include <sstream>
 
 namespace snipeweir {
 
@@ -59,6 +62,7 @@
 ExitCode FileCommands::trace()
 {
     RequestTrace trace(m_commandLine.arguments.front());
+    EraChanges eraChanges;
     ExitCode exitCode = ExitCode::Ok;
     for (size_t index = 1; index < m_commandLine.arguments.size(); ++index) {
         std::ifstream file(m_commandLine.arguments[index]);
@@ -67,12 +71,19 @@
             exitCode = ExitCode::FileFaults;
             continue;
         }
-        trace.read(file);
+        // Both read each line at once, because the file may be a pipe.
+        for (std::string line; std::getline(file, line);) {
+            eraChanges.readLine(line);
+            std::istringstream stream(line + '\n');
+            trace.read(stream);
+        }
     }
 
     Json::Value result(Json::objectValue);
     result["id"] = m_commandLine.arguments.front();
-    result["steps"] = Json::arrayValue;
+    std::vector<Json::Value> rows;
+    for (const Json::Value& row : eraChanges.rows(trace.steps()))
+        rows.push_back(row);
     for (const RequestTrace::Step& step : trace.steps()) {
         Json::Value row(Json::objectValue);
         row["at_ms"] = Json::Int64(step.atMs);
@@ -83,8 +94,14 @@
         for (const std::string& field : step.fields)
             fields.append(fields.empty() ? "" : " ").append(field);
         row["fields"] = fields;
-        result["steps"].append(row);
+        rows.push_back(row);
     }
+    std::stable_sort(rows.begin(), rows.end(),
+        [](const Json::Value& a, const Json::Value& b) { return a["at_ms"].asInt64() < b["at_ms"].asInt64(); });
+    result["steps"] = Json::arrayValue;
+    for (const Json::Value& row : rows)
+        result["steps"].append(row);
+    result["era_changes"] = eraChanges.summary(trace.steps());
     result["open"] = Json::arrayValue;
     for (const std::string& openStep : trace.openSteps())
         result["open"].append(openStep);
@@ -94,6 +111,8 @@
         return exitCode;
     }
     TablePrinter(m_out).printRows(result["steps"], { "at_ms", "node", "event", "id", "fields" });
+    for (const Json::Value& change : result["era_changes"])
+        m_out << EraChanges::sentence(change) << '\n';
     for (const Json::Value& openStep : result["open"])
         m_out << openStep.asString() << '\n';
     if (trace.skippedLineCount() > 0)
--- a/tests/snipeweirctl/SnipeweirctlTests.cpp
+++ b/tests/snipeweirctl/SnipeweirctlTests.cpp
@@ -205,3 +205,44 @@
     CHECK(missing.contains("\"foreign_lines\""));
     CHECK(run("trace ab").exitCode == 64);
 }
+
+TEST_CASE("trace shows that the store was restored from a copy just before the request or during it")
+{
+    const auto change = [](int64_t atMs, const std::string& node, const std::string& before, const std::string& after) {
+        return "{\"at_ms\":" + std::to_string(atMs) + ",\"node\":\"" + node
+            + "\",\"event\":\"source_era_changed\",\"document\":\"backends\",\"before\":\"" + before
+            + "\",\"version\":\"" + after + "\",\"kept\":\"3\",\"dropped\":\"0\"}\n";
+    };
+    // The request began at 100000 and ended at 100400.
+    const std::string request = "{\"at_ms\":100400,\"node\":\"n1\",\"event\":\"answered\",\"id\":\"ab\","
+                                "\"outcome\":\"not_run\",\"took_us\":\"400000\",\"backends_revision\":\"5/1790\"}\n";
+    const auto trace = [&](const std::string& changes, const std::string& options = "") {
+        const TemporaryFile log(changes + request);
+        return run("trace ab " + log.path() + options);
+    };
+
+    const RunResult before = trace(change(99'700, "n1", "4/1812", "5/1788") + change(99'900, "n2", "4/1810", "5/1789"));
+    CHECK(before.contains("backends_revision=5/1790"));
+    CHECK(before.contains("document=backends before=4/1812 version=5/1788 kept=3 dropped=0"));
+    CHECK(before.contains("era 4 to 5, at 2 of the nodes, the first 300 ms before the request began"));
+    // Lines of nodes that did not handle the request are only counted.
+    CHECK_FALSE(before.contains("version=5/1789"));
+    CHECK(before.output.find("version=5/1788") < before.output.find("backends_revision=5/1790"));
+
+    CHECK(trace(change(100'300, "n2", "4/1812", "5/1788")).contains("the first 300 ms after the request began"));
+    CHECK(trace(change(100'100, "n1", "1812", "1/1788")).contains("era 0 to 1"));
+    const RunResult twice = trace(change(98'000, "n1", "4/9", "5/7") + change(100'000, "n1", "5/8", "6/3"));
+    CHECK(twice.contains("era 4 to 5"));
+    CHECK(twice.contains("era 5 to 6"));
+    const RunResult json = trace(change(99'700, "n1", "4/1812", "5/1788"), " --json");
+    CHECK(json.contains("\"era_changes\""));
+    CHECK(json.contains("\"era_before\""));
+
+    CHECK_FALSE(trace(change(94'000, "n1", "4/1812", "5/1788")).contains("restored"));
+    CHECK_FALSE(trace(change(100'500, "n1", "4/1812", "5/1788")).contains("restored"));
+    for (const char* malformed : { "", "5/", "/5", "5/1/2", "5/x", "-1/2", "99999999999999999999/1" }) {
+        const RunResult result = trace(change(99'700, "n1", "4/1812", malformed));
+        CHECK(result.exitCode == 0);
+        CHECK_FALSE_MESSAGE(result.contains("restored"), malformed);
+    }
+}
