Drop kept entries without a fetch where the announcer dropped the same ones

Seen: in the model of the fleet, each node fetched the list of backend servers once more 2.2 s after the era began: the digest of the node that reads the store no longer had the kept entries, and the others compared theirs before they dropped them.

Change: a node first compares the digest without its kept entries, if their time is over for the announcer.

The number of fetches in real fleets was not measured.

--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -83,12 +83,16 @@
     }
 
     /// @param kept Instances that the source has lost. Other nodes must learn when it has them again.
-    uint64_t digestOf(const FleetView& view, const std::vector<std::string>& kept)
+    /// @param excluded Instances to leave out.
+    uint64_t digestOf(
+        const FleetView& view, const std::vector<std::string>& kept, const std::vector<std::string>& excluded = {})
     {
         std::string text;
         for (const std::string& instance : kept)
             text.append(instance).append("k");
-        for (const BackendEntry& entry : view.backends())
+        for (const BackendEntry& entry : view.backends()) {
+            if (std::find(excluded.begin(), excluded.end(), entry.instance) != excluded.end())
+                continue;
             text.append(entry.instance)
                 .append(entry.address.text())
                 .append(entry.service.text())
@@ -97,6 +101,7 @@
                 .append(std::to_string(entry.slots))
                 .append("@")
                 .append(std::to_string(entry.startedAtMs));
+        }
         return hashOf(text);
     }
 
@@ -265,6 +270,16 @@
     }
 }
 
+void FleetFollower::dropKeptWith(const PeerMessage& announcement, SteadyTime readAt)
+{
+    const auto expiry = m_registry.nextExpiry();
+    if (!expiry || readAt < *expiry || announcement.backends.version < m_backendsVersion.version)
+        return;
+    if (announcement.backends.digest == digestOf(m_view, {}, m_registry.keptInstances())
+        && m_registry.expireKept(readAt))
+        applyBackends();
+}
+
 bool FleetFollower::lacksHistoryOf(const PeerMessage& announcement) const
 {
     return announcement.eraAge && !m_hasHistory && isSourceCatchingUp();
@@ -604,6 +619,8 @@
     if (message.backends.version.era < m_eras.era())
         return;
     const bool lacksHistory = lacksHistoryOf(message);
+    const SteadyTime readAt = m_clock.now() - message.age;
+    dropKeptWith(message, readAt);
     // Entries that the announcer kept may be gone without a later version. While entries are written again, nodes that
     // know different things about one need not judge it differently for long.
     const bool isLaterOrDropped = message.backends.version > m_backendsVersion.version
@@ -614,7 +631,6 @@
         && message.operators.digest != m_operatorsVersion.digest;
     const bool hasLaterConfiguration = message.operators.version.era >= m_operatorsVersion.version.era
         && message.configuration > m_operators.configurationVersion();
-    const SteadyTime readAt = m_clock.now() - message.age;
     if (!hasNewBackends && message.backends.version >= m_backendsVersion.version) {
         markViewCurrent(readAt);
         expireMissing();
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -117,6 +117,9 @@
     void noteEraOf(const PeerMessage& announcement);
     /// Records that the source has this node's documents in a later era, too. A later change is none that it lost.
     void confirmVersions(const PeerMessage& announcement);
+    /// Removes the entries that were kept, without a fetch, if the announcer has removed the same ones and no others.
+    /// @param readAt Time at which the announcer's view was current.
+    void dropKeptWith(const PeerMessage& announcement, SteadyTime readAt);
     /// @return Whether this node should fetch the documents of an announcer, whatever their versions, because that one
     /// knows what was before the source was restored from a copy.
     bool lacksHistoryOf(const PeerMessage& announcement) const;
