Take an era as begun when a node hears of it, not when a view was current

Seen: in the review of the change, from the code; not reproduced. An announcement made while only the operators' document had been read in the new era carries the age of the view of the backend servers, 1.3 s and more after an outage. Receivers took that as the time at which the era began, and the earliest time counts in the whole fleet: what the store lost was kept for 0.2 to 0.9 s instead of 2.2 s.

Cause: the age says when the backend servers' view was current, not when the source was in the era of either document.

Change: an era begins, for a node, when it first hears of it, or at the time that the announcement names for it.

A test of its own is still missing.

--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -234,9 +234,9 @@
     updateOperatorState();
 }
 
-void FleetFollower::noteEra(uint64_t era, SteadyTime seenAt)
+void FleetFollower::noteEra(uint64_t era)
 {
-    if (!m_eras.onEra(era, seenAt))
+    if (!m_eras.onEra(era, m_clock.now()))
         return;
     ++m_counters.eraChanges;
     m_hasHistory = m_backendsVersion.version.isKnown() && m_operatorsVersion.version.isKnown();
@@ -246,7 +246,7 @@
 void FleetFollower::noteEraOf(const PeerMessage& announcement)
 {
     const uint64_t era = std::max(announcement.backends.version.era, announcement.operators.version.era);
-    noteEra(era, m_clock.now() - announcement.age);
+    noteEra(era);
     if (!announcement.eraAge)
         return;
     m_eras.onBegin(era, m_clock.now() - *announcement.eraAge);
@@ -309,7 +309,7 @@
     const SourceVersion version = fetched.document.version;
     if (version.era < m_eras.era())
         return;
-    noteEra(version.era, fetched.readAt);
+    noteEra(version.era);
     markViewCurrent(fetched.readAt);
     if (fetched.continuity)
         limitOutage(*fetched.continuity, fetched.requestedAt, fetched.receivedAt);
@@ -334,7 +334,7 @@
 {
     if (fetched.document.version.era < m_eras.era())
         return;
-    noteEra(fetched.document.version.era, fetched.readAt);
+    noteEra(fetched.document.version.era);
     applyOperators(fetched.document);
 }
 
@@ -667,7 +667,7 @@
     auto document = co_await m_source.readOperators();
     if (!document || !checkRead("operators", document->version, m_operators.version()))
         co_return;
-    noteEra(document->version.era, m_clock.now());
+    noteEra(document->version.era);
     applyOperators(*document);
     confirmOperators(asOf);
 }
@@ -786,7 +786,7 @@
     auto items = co_await m_source.readBackends();
     m_fullReadAt = items ? asOf : SteadyTime {};
     if (items && checkRead("backends", items->version, m_registry.version())) {
-        noteEra(items->version.era, m_clock.now());
+        noteEra(items->version.era);
         m_registry.takeList(*items);
         finishRead(asOf);
         co_return;
@@ -812,7 +812,7 @@
 {
     if (items.version.era < m_eras.era())
         co_return false;
-    noteEra(items.version.era, m_clock.now());
+    noteEra(items.version.era);
     // Incremental reads may have gone on meanwhile, so the list may be older or newer than the registry.
     if (items.version < m_registry.version() || m_registry.hidesWrites(items)) {
         ++m_counters.sourceReads;
@@ -881,7 +881,7 @@
             document.reset();
         mustRead = !document;
         if (document) {
-            noteEra(document->version.era, m_clock.now());
+            noteEra(document->version.era);
             applyOperators(*document);
             announce();
             confirmOperators(asOf);
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -111,9 +111,8 @@
     /// document is current again.
     /// @return Whether it may be used; a document of an earlier era may not.
     bool checkRead(std::string_view document, const SourceVersion& read, const SourceVersion& known);
-    /// Records an era that the source or another node named.
-    /// @param seenAt Time at which the source was in that era.
-    void noteEra(uint64_t era, SteadyTime seenAt);
+    /// Records an era that the source or another node has just named.
+    void noteEra(uint64_t era);
     void noteEraOf(const PeerMessage& announcement);
     /// Records that the source has this node's documents in a later era, too. A later change is none that it lost.
     void confirmVersions(const PeerMessage& announcement);
