Let each document say whether its sender knows what was before the era

Seen: in the review, from the code; not reproduced. A node took the answer of any node as that of one with history, if it had asked for that; and a node that started in one era without history claimed to have it as soon as the next one began. Such a node uses servers that its peers know are gone.

Change: a response with a document names the time since the era began if its sender has history (Snipeweir-Era-Age), and a node has history of each document for itself. A node that lacks it while the store catches up still lacks it in the next era.

Evidence: by reading; test_restored_store.py passes.

--- a/snipeweir/relay/DocumentFetcher.cpp
+++ b/snipeweir/relay/DocumentFetcher.cpp
@@ -22,6 +22,9 @@
     /// Maximum number of compressed bytes that all attempts of a fetch hold.
     constexpr size_t maxReceivedBytes = 8U << 20U;
 
+    /// Longest age that is accepted, so that no difference to a clock's time overflows.
+    constexpr uint64_t maxEraAgeMs = 1ULL << 40U;
+
     std::optional<std::string> decompress(std::string_view compressed)
     {
         const auto size = ZSTD_getFrameContentSize(compressed.data(), compressed.size());
@@ -155,8 +158,9 @@
         co_return std::nullopt;
     ++fetch->responses;
     Fetched fetched { {}, fetch->request.version, fetch->request.readAt,
-        SourceContinuity::parse(exchange.field(continuityField)), requestedAt, m_clock.now(),
-        fetch->request.hasHistory };
+        SourceContinuity::parse(exchange.field(continuityField)), requestedAt, m_clock.now() };
+    if (const auto age = parseUnsigned(exchange.field(eraAgeField)))
+        fetched.eraAge = std::chrono::milliseconds(std::min(*age, maxEraAgeMs));
     SourceDocument& document = fetched.document;
     document.version.revision.value = parseUnsigned(exchange.field(revisionField)).value_or(0);
     document.version.era = parseUnsigned(exchange.field(eraField)).value_or(0);
--- a/snipeweir/relay/DocumentFetcher.h
+++ b/snipeweir/relay/DocumentFetcher.h
@@ -24,8 +24,6 @@
         std::string forwarder;
         /// Time at which the announcer read the document.
         SteadyTime readAt;
-        /// Whether the announcer knows what the documents were before the current era of the source.
-        bool hasHistory = false;
     };
 
     /// A document and what its sender said about it.
@@ -40,8 +38,8 @@
         /// Times between which the sender sent the continuity.
         SteadyTime requestedAt {};
         SteadyTime receivedAt {};
-        /// As in the request.
-        bool hasHistory = false;
+        /// Time since the era of the source began; empty if the sender doesn't know what was before.
+        std::optional<std::chrono::milliseconds> eraAge = {};
     };
 
     struct Failure {
@@ -71,6 +69,9 @@
     /// Fields of the response that hold the revision of the document, and the era if the source has eras.
     static constexpr std::string_view revisionField = "Snipeweir-Revision";
     static constexpr std::string_view eraField = "Snipeweir-Era";
+    /// Field of the response that holds the time in milliseconds since the era began, if the sender knows what was
+    /// before.
+    static constexpr std::string_view eraAgeField = "Snipeweir-Era-Age";
     /// Field of the response that holds the sender's SourceContinuity.
     static constexpr std::string_view continuityField = "Snipeweir-Continuity";
 
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -236,10 +236,12 @@
 
 void FleetFollower::noteEra(uint64_t era)
 {
+    const bool lackedHistory = isSourceCatchingUp() && !hasHistory();
     if (!m_eras.onEra(era, m_clock.now()))
         return;
     ++m_counters.eraChanges;
-    m_hasHistory = m_backendsVersion.version.isKnown() && m_operatorsVersion.version.isKnown();
+    m_hasBackendHistory = m_backendsVersion.version.isKnown() && !lackedHistory;
+    m_hasOperatorHistory = m_operatorsVersion.version.isKnown() && !lackedHistory;
     m_registry.setEraBegin(*m_eras.begin());
 }
 
@@ -247,13 +249,25 @@
 {
     const uint64_t era = std::max(announcement.backends.version.era, announcement.operators.version.era);
     noteEra(era);
-    if (!announcement.eraAge)
+    noteEraBegin(era, announcement.eraAge);
+}
+
+void FleetFollower::noteEraBegin(uint64_t era, std::optional<std::chrono::milliseconds> eraAge)
+{
+    if (!eraAge)
         return;
-    m_eras.onBegin(era, m_clock.now() - *announcement.eraAge);
+    m_eras.onBegin(era, m_clock.now() - *eraAge);
     if (m_eras.begin())
         m_registry.setEraBegin(*m_eras.begin());
 }
 
+std::optional<std::chrono::milliseconds> FleetFollower::eraAge() const
+{
+    if (!hasHistory() || !m_eras.begin())
+        return std::nullopt;
+    return std::chrono::ceil<std::chrono::milliseconds>(m_clock.now() - *m_eras.begin());
+}
+
 void FleetFollower::confirmVersions(const PeerMessage& announcement)
 {
     const SourceDocumentVersion& backends = announcement.backends;
@@ -282,14 +296,14 @@
 
 bool FleetFollower::lacksHistoryOf(const PeerMessage& announcement) const
 {
-    return announcement.eraAge && !m_hasHistory && isSourceCatchingUp();
+    return announcement.eraAge && !hasHistory() && isSourceCatchingUp();
 }
 
 void FleetFollower::informAnnouncer(const std::string& ip, const PeerMessage& announcement)
 {
     if (m_eras.era() == 0 || ip != announcement.announcer || m_clock.now() - m_informedAt < informInterval)
         return;
-    const bool lacksHistory = m_hasHistory && !announcement.eraAge && isSourceCatchingUp();
+    const bool lacksHistory = hasHistory() && !announcement.eraAge && isSourceCatchingUp();
     const bool isOutdated = announcement.backends.version.era < m_eras.era();
     if (!lacksHistory && !isOutdated && announcement.configuration >= m_operators.configurationVersion())
         return;
@@ -313,9 +327,10 @@
     markViewCurrent(fetched.readAt);
     if (fetched.continuity)
         limitOutage(*fetched.continuity, fetched.requestedAt, fetched.receivedAt);
-    m_hasHistory = m_hasHistory || fetched.hasHistory;
+    noteEraBegin(version.era, fetched.eraAge);
+    m_hasBackendHistory = m_hasBackendHistory || fetched.eraAge;
     const bool isOlder = version < m_registry.version();
-    if (isOlder && !fetched.hasHistory) {
+    if (isOlder && !fetched.eraAge) {
         expireMissing();
         return;
     }
@@ -335,6 +350,8 @@
     if (fetched.document.version.era < m_eras.era())
         return;
     noteEra(fetched.document.version.era);
+    noteEraBegin(fetched.document.version.era, fetched.eraAge);
+    m_hasOperatorHistory = m_hasOperatorHistory || fetched.eraAge;
     applyOperators(fetched.document);
 }
 
@@ -518,8 +535,7 @@
     message.operators = m_operatorsVersion;
     message.age = age();
     message.configuration = m_operators.configurationVersion();
-    if (m_hasHistory && m_eras.begin())
-        message.eraAge = std::chrono::ceil<std::chrono::milliseconds>(m_clock.now() - *m_eras.begin());
+    message.eraAge = eraAge();
     message.announcer = m_node.peersAddress.ip;
     message.incarnation = m_incarnation;
     message.sequence = ++m_sequence;
@@ -644,11 +660,11 @@
         source = { message.announcer };
     if (hasNewBackends || lacksHistory) {
         ++m_counters.fetches;
-        m_backendsFetcher.fetch({ message.backends, source, message.announcer, ip, readAt, lacksHistory });
+        m_backendsFetcher.fetch({ message.backends, source, message.announcer, ip, readAt });
     }
     if (hasNewOperators || hasLaterConfiguration || lacksHistory) {
         ++m_counters.fetches;
-        m_operatorsFetcher.fetch({ message.operators, source, message.announcer, ip, readAt, lacksHistory });
+        m_operatorsFetcher.fetch({ message.operators, source, message.announcer, ip, readAt });
     }
 }
 
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -73,6 +73,10 @@
     /// @return The known era of the source.
     uint64_t era() const { return m_eras.era(); }
 
+    /// @return Time since that era began; empty if this node doesn't know, itself or from another node, what the
+    /// documents were before.
+    std::optional<std::chrono::milliseconds> eraAge() const;
+
     /// @return Whether the configuration in force is known to be current. Confirmed only if it has organisations.
     ConfigurationFreshness& freshness() { return m_freshness; }
 
@@ -114,6 +118,9 @@
     /// Records an era that the source or another node has just named.
     void noteEra(uint64_t era);
     void noteEraOf(const PeerMessage& announcement);
+    /// Records when the known era began, as a node with history says.
+    void noteEraBegin(uint64_t era, std::optional<std::chrono::milliseconds> eraAge);
+    bool hasHistory() const { return m_hasBackendHistory && m_hasOperatorHistory; }
     /// Records that the source has this node's documents in a later era, too. A later change is none that it lost.
     void confirmVersions(const PeerMessage& announcement);
     /// Removes the entries that were kept, without a fetch, if the announcer has removed the same ones and no others.
@@ -200,8 +207,9 @@
     BackendRegistry m_registry;
     OutageTracker m_outages;
     EraTracker m_eras;
-    /// Whether this node knows, itself or from another node, what the source's documents were before the current era.
-    bool m_hasHistory = false;
+    /// Whether this node knows, itself or from another node, what each document was before the current era.
+    bool m_hasBackendHistory = false;
+    bool m_hasOperatorHistory = false;
     OperatorDocument m_operators;
     /// Time of the last reply to an announcer that knew less.
     SteadyTime m_informedAt {};
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -204,6 +204,11 @@
                     .append(": ")
                     .append(std::to_string(document->version.era))
                     .append("\r\n");
+            if (const auto eraAge = m_follower.eraAge())
+                head.append(DocumentFetcher::eraAgeField)
+                    .append(": ")
+                    .append(std::to_string(eraAge->count()))
+                    .append("\r\n");
             head.append(DocumentFetcher::continuityField).append(": ");
             head.append(m_follower.continuity().text()).append("\r\n");
             co_await connection.writeComplete(std::move(head), document->text, m_clock.now() + peerWriteTimeout);
