Keep an entry in use that was read later than a document that keeps it

Seen: in the review, from the code. The later pages of a list may hold writes after its version, so that of two nodes with one version one had an entry in use and the other kept it; each took the other's word, and the first one missed the write that was yet to come as an event.

Change: takeKeptItem() leaves an entry in use whose write is later than the document. Evidence: test-fleet passes (86 cases); the sequence itself has no test.

--- a/snipeweir/fleet/BackendRegistry.cpp
+++ b/snipeweir/fleet/BackendRegistry.cpp
@@ -418,7 +418,9 @@
         return;
     Record& record = m_records[key];
     const bool isNewer = !record.mark || markOf(*decoded.entry) > *record.mark;
-    if (isGone(record) && (!isNewer || hasEnded(record, *decoded.entry)))
+    // A list may contain later writes than its version.
+    const bool wasReadLater = record.state == State::InUse && record.version > m_version;
+    if (wasReadLater || (isGone(record) && (!isNewer || hasEnded(record, *decoded.entry))))
         return;
     if (isNewer)
         acceptUnseen(record, original, *decoded.entry);
