Let few nodes reply to an announcer that lacks history, once they have it all

Seen: in the review, from the code. Up to 64 nodes replied at once, and the announcer asked each of them for the documents; nodes replied before they had taken the documents of the new era themselves, and to nodes of earlier versions, which drop the reply. An unreadable configuration in the store wasn't reported if the one in force stayed. source_outdated named a known version of an earlier era than the known one.

Change: the first four nodes to which the announcer sends reply, if their documents are of the known era. Skipped items are reported whenever a document was decoded. source_outdated names the known era.

--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -45,6 +45,8 @@
     constexpr int compressionLevel = 3;
     /// Minimum interval between replies to announcers that know less.
     constexpr std::chrono::milliseconds informInterval { 200 };
+    /// Number of nodes that reply to one announcer.
+    constexpr size_t maxInformers = 4;
     /// Nodes asked at once whether they could read the source during a gap, and the time for their replies. With a
     /// third of the fleet partitioned off at once, one of eight nodes is unaffected in all but 1 of 6,500 cases.
     constexpr size_t continuityTargets = 8;
@@ -263,7 +265,7 @@
 
 std::optional<std::chrono::milliseconds> FleetFollower::eraAge() const
 {
-    if (!hasHistory() || !m_eras.begin())
+    if (!hasHistory() || !m_eras.begin() || !isInCurrentEra())
         return std::nullopt;
     return std::chrono::ceil<std::chrono::milliseconds>(m_clock.now() - *m_eras.begin());
 }
@@ -299,9 +301,20 @@
     return announcement.eraAge && !hasHistory() && isSourceCatchingUp();
 }
 
+bool FleetFollower::isInCurrentEra() const
+{
+    return m_backendsVersion.version.era == m_eras.era() && m_operatorsVersion.version.era == m_eras.era();
+}
+
 void FleetFollower::informAnnouncer(const std::string& ip, const PeerMessage& announcement)
 {
-    if (m_eras.era() == 0 || ip != announcement.announcer || m_clock.now() - m_informedAt < informInterval)
+    if (announcement.backends.version.era == 0 || !isInCurrentEra() || ip != announcement.announcer
+        || m_clock.now() - m_informedAt < informInterval)
+        return;
+    // The announcer fetches from each node that replies.
+    const std::vector<std::string> informers = m_tree.children(ip, ip, 0);
+    const auto end = informers.begin() + static_cast<ptrdiff_t>(std::min(informers.size(), maxInformers));
+    if (std::find(informers.begin(), end, m_node.peersAddress.ip) == end)
         return;
     const bool lacksHistory = hasHistory() && !announcement.eraAge && isSourceCatchingUp();
     const bool isOutdated = announcement.backends.version.era < m_eras.era();
@@ -426,7 +439,8 @@
     ++m_counters.outdatedReads;
     if (m_outdatedDocuments.emplace(document).second)
         m_log.logStateChange("source_outdated",
-            { { "document", std::string(document) }, { "revision", read.text() }, { "known", known.text() } });
+            { { "document", std::string(document) }, { "revision", read.text() },
+                { "known", std::max(known, SourceVersion({}, m_eras.era())).text() } });
     return !isEarlierEra;
 }
 
@@ -447,10 +461,10 @@
             [&](const DataCentreName& dataCentre) { return !state.evacuated.contains(dataCentre); });
         logEraChange("operators", before.version, state.version, kept, static_cast<size_t>(dropped));
     }
+    reportSkipped(m_skippedOperatorItems, state.skipped, state.version);
     if (!isChanged)
         return;
     m_compressedOperators.clear();
-    reportSkipped(m_skippedOperatorItems, state.skipped, state.version);
     updateOperatorState();
 }
 
--- a/snipeweir/relay/FleetFollower.h
+++ b/snipeweir/relay/FleetFollower.h
@@ -120,6 +120,8 @@
     void noteEraOf(const PeerMessage& announcement);
     /// Records when the known era began, as a node with history says.
     void noteEraBegin(uint64_t era, std::optional<std::chrono::milliseconds> eraAge);
+    /// @return Whether both documents are of the known era.
+    bool isInCurrentEra() const;
     bool hasHistory() const { return m_hasBackendHistory && m_hasOperatorHistory; }
     /// Records that the source has this node's documents in a later era, too. A later change is none that it lost.
     void confirmVersions(const PeerMessage& announcement);
@@ -129,7 +131,8 @@
     /// @return Whether this node should fetch the documents of an announcer, whatever their versions, because that one
     /// knows what was before the source was restored from a copy.
     bool lacksHistoryOf(const PeerMessage& announcement) const;
-    /// Replies to an announcer that lacks what this node knows from before the source was restored.
+    /// Replies to an announcer that lacks what this node knows from before the source was restored, if this node is
+    /// one of the first to which the announcer sends.
     void informAnnouncer(const std::string& ip, const PeerMessage& announcement);
     /// @return Whether operators and backend servers may still be writing again what the source lost.
     bool isSourceCatchingUp() const { return m_eras.isWithin(OperatorDocument::evacuationGrace, m_clock.now()); }
