Bound the begin of an era by when a node first heard of it

Seen: in the review, and by the test. A node that started long after an era began knows no begin. When a node that had been cut off returned and said that the era had just begun for it, the first one believed it: it took over servers that were long gone, and evacuations that were long lifted.

Cause: when a node heard of something was taken for when it was.

Change: an era began at the latest when this node first heard of it. What an older document knows is taken while the store catches up only.

Evidence: the new test of EraTracker fails without the change (2 checks) and passes with it.

--- a/snipeweir/fleet/EraTracker.cpp
+++ b/snipeweir/fleet/EraTracker.cpp
@@ -12,14 +12,16 @@
     const bool isChange = std::exchange(m_isKnown, true);
     if (isChange)
         m_begin = seenAt;
+    m_heardAt = seenAt;
     m_era = era;
     return isChange;
 }
 
 void EraTracker::onBegin(uint64_t era, SteadyTime begin)
 {
+    // The era was there when this node first heard of it, however late another node did.
     if (m_isKnown && era == m_era)
-        m_begin = m_begin ? std::min(*m_begin, begin) : begin;
+        m_begin = std::min({ begin, m_heardAt, m_begin.value_or(begin) });
 }
 
 }
--- a/snipeweir/fleet/EraTracker.h
+++ b/snipeweir/fleet/EraTracker.h
@@ -34,6 +34,8 @@
 private:
     bool m_isKnown = false;
     uint64_t m_era = 0;
+    /// Time at which this node first heard of the era.
+    SteadyTime m_heardAt {};
     std::optional<SteadyTime> m_begin;
 };
 
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -343,7 +343,7 @@
     noteEraBegin(version.era, fetched.eraAge);
     m_hasBackendHistory = m_hasBackendHistory || fetched.eraAge;
     const bool isOlder = version < m_registry.version();
-    if (isOlder && !fetched.eraAge) {
+    if (isOlder && (!fetched.eraAge || !isSourceCatchingUp())) {
         expireMissing();
         return;
     }
--- a/tests/fleet/SourceEraTests.cpp
+++ b/tests/fleet/SourceEraTests.cpp
@@ -41,6 +41,16 @@
     CHECK(upgraded.onEra(1, start + 1s));
 }
 
+TEST_CASE("A node that was cut off lets another one take an old era for one that has just begun")
+{
+    const SteadyTime start { 1h };
+    EraTracker started;
+    CHECK_FALSE(started.onEra(5, start));
+    started.onBegin(5, start + 60s);
+    CHECK(started.begin() == start);
+    CHECK_FALSE(started.isWithin(5s, start + 60s));
+}
+
 TEST_CASE("A node that was cut off takes the time at which it heard of an era for its begin")
 {
     const SteadyTime start { 1h };
