Test what callers see after the store was restored, with all that was lost and at nodes that were apart

Three tests covered what is written after the return of the store. Nothing tested, with real processes, what was written before it and lost: servers that had left or registered, another incarnation, configurations, revoked keys, evacuations; nodes that restart, are cut off or are paused meanwhile; a lagging replica; an era that can't be read.

--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -158,6 +158,7 @@
         self.history_start = 0
         self.era = None  # The era that all responses name, if any.
         self.copy = None
+        self.first_response = None  # Time of the first response since the store was restored.
         self.connections = set()
         self.mode = "ok"
         self.request_count = 0
@@ -182,9 +183,18 @@
         self.changes.clear()
         self.history_start = self.revision
 
-    def save_copy(self):
-        """Saves the copy that restore_copy() goes back to."""
-        self.copy = (dict(self.items), self.revision, list(self.changes), self.history_start)
+    def save_copy(self, lacks=()):
+        """Saves the copy that restore_copy() goes back to, as if these keys had been written after it."""
+        items = {key: item for key, item in self.items.items() if key not in lacks}
+        changes = [change for change in self.changes if change[0] not in lacks]
+        self.copy = (items, self.revision, changes, self.history_start)
+
+    def replica(self, ip):
+        """Returns a store with the same contents and era that gets no further writes."""
+        replica = Store(ip)
+        replica.items, replica.revision, replica.era = dict(self.items), self.revision, self.era
+        replica.changes, replica.history_start = list(self.changes), self.history_start
+        return replica
 
     async def restore_copy(self, away):
         """Resets all connections for some seconds, then serves the saved copy in the next era."""
@@ -194,6 +204,7 @@
         items, self.revision, changes, self.history_start = self.copy
         self.items, self.changes = dict(items), list(changes)
         self.era = (self.era or 0) + 1
+        self.first_response = None
         await asyncio.sleep(away)
         self.mode = "ok"
 
@@ -222,6 +233,7 @@
                 else:
                     writer.write(text)
                 await writer.drain()
+                self.first_response = self.first_response or time.monotonic()
         except (OSError, ConnectionError):
             pass
         except asyncio.CancelledError:
