Test, failing, that an evacuation lifted soon after the store was restored is lifted at all nodes

Nodes that don't read the store don't take the first document of the new era if its contents are those that they have. The first that they take is the one without the evacuation, so they keep it as lost until 5 s after the era began.

--- a/tests/relay/test_restored_store_history.py
+++ b/tests/relay/test_restored_store_history.py
@@ -116,6 +116,24 @@
             self.assert_no_arrivals(node, written + DRAIN)
         self.assert_served()
 
+    async def test_an_evacuation_holds_for_ever(self):
+        zone = self.nodes[1], self.nodes[3]
+        cut_off = self.nodes[2]
+        self.fleet.store.put("op/evacuate/b", b"{}")
+        self.start_traffic()
+        await self.restore(1.3)
+        cut_off.store_proxy.set_mode("reset")
+        await asyncio.sleep(1)
+        self.fleet.store.remove("op/evacuate/b")
+        await asyncio.sleep(APPLY)
+        begin = time.monotonic()
+        await asyncio.sleep(1.5)
+        for node in zone:
+            self.assert_steady_arrivals(node, begin)
+            callers = {self.callers.get(request_id) for at, request_id, _, _ in node.backend.arrivals if at > begin}
+            self.assertIn(cut_off.index, callers)
+        self.assert_served()
+
     async def test_an_evacuation_that_is_not_written_again_holds_for_ever(self):
         zone = self.nodes[1], self.nodes[3]
         self.start_traffic()
