Test, failing at times, that a server that is written again stays in use when kept entries expire

The list with kept entries and the one in which they are written again have the same digest, so a node that follows announcements doesn't fetch the latter and drops the entries 2.2 s after the era began, for about 0.6 s.

--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -63,6 +63,22 @@
         self.fleet.configure(routes + [self.fleet.route("/added/", "safe", "one")])
         await self.assert_route_served("/added/x")
 
+    async def test_a_running_server_that_the_copy_does_not_have_is_dropped(self):
+        same, higher = self.nodes[:2]
+        self.silent |= {same, higher}
+        self.start_traffic()
+        await asyncio.sleep(0.3)
+        begin = time.monotonic()
+        await self.restore(1.3, lacks=[same, higher])
+        await asyncio.sleep(1.8)
+        self.write_again(same)  # The other one is written with a higher sequence number.
+        self.silent.clear()
+        self.fleet.register(higher)
+        await asyncio.sleep(2)
+        self.assert_steady_arrivals(same, begin)
+        self.assert_steady_arrivals(higher, begin)
+        self.assert_served()
+
     async def test_a_server_that_left_before_the_store_was_restored_gets_requests_again(self):
         removed, drained, _, has_only_peers, reads = self.nodes
         self.start_traffic()
