Let the time of a kept evacuation not begin again with the next era

Both lifts of an evacuation came when the store didn't hold the key; the evacuation of a, lost in era 4, and that of b, lost in era 5, were both kept, 12.7 s after the first had been lifted, and no data centre was in service.

Cause: kept evacuations had one time limit, which began with the latest era.

Change: each has its own, from the era in which it was lost.

The calls of the tests and the measurement name a time instead of the flag; their checks are the same.

--- a/performance/SourceEraMeasurement.cpp
+++ b/performance/SourceEraMeasurement.cpp
@@ -112,7 +112,8 @@
     explicit Documents(size_t nodes)
     {
         registry.takeDocument({ Revision { 1000 }, 4 }, SourceEraSizes::backendItems(nodes, 1));
-        operators.take({ { Revision { 1000 }, 4 }, encodeItems(SourceEraSizes::operatorItems(nodes, 5)) }, false);
+        operators.take(
+            { { Revision { 1000 }, 4 }, encodeItems(SourceEraSizes::operatorItems(nodes, 5)) }, std::nullopt);
         static_cast<void>(registry.list());
     }
 };
@@ -156,10 +157,10 @@
         static_cast<void>(node.registry.list());
     });
     const double operators = cpuMilliseconds(prepare, [&](Documents& node) {
-        node.operators.take({ next, encodeItems(SourceEraSizes::operatorItems(nodes, 6)) }, false);
+        node.operators.take({ next, encodeItems(SourceEraSizes::operatorItems(nodes, 6)) }, std::nullopt);
     });
     const double restoredOperators = cpuMilliseconds(prepare, [&](Documents& node) {
-        node.operators.take({ restored, encodeItems(SourceEraSizes::operatorItems(nodes, 4)) }, true);
+        node.operators.take({ restored, encodeItems(SourceEraSizes::operatorItems(nodes, 4)) }, SteadyTime::max());
     });
     const SourceEraSizes sizes = SourceEraSizes::of(nodes);
     std::printf("{\"kind\":\"cpu\",\"nodes\":%zu,\"backends_ms\":%.3f,\"restored_backends_ms\":%.3f,"
--- a/snipeweir/fleet/OperatorDocument.cpp
+++ b/snipeweir/fleet/OperatorDocument.cpp
@@ -20,6 +20,7 @@
     std::string encode(const std::map<std::string, std::string>& items)
     {
         std::vector<SourceItem> list;
+        list.reserve(items.size());
         for (const auto& [key, value] : items)
             list.push_back({ key, value });
         return encodeItems(list);
@@ -34,7 +35,7 @@
 
 Revision OperatorDocument::configurationVersion() const { return versionOf(m_state); }
 
-bool OperatorDocument::take(const SourceDocument& document, bool canKeep)
+bool OperatorDocument::take(const SourceDocument& document, std::optional<SteadyTime> keepUntil)
 {
     const uint64_t takenDigest = hashOf(document.text);
     if (document.version.era < m_version.era || (document.version < m_version && takenDigest == m_takenDigest))
@@ -60,10 +61,10 @@
         takeOlder(items, state);
     } else {
         m_takenDigest = takenDigest;
-        takeCurrent(std::move(items), std::move(state), document.version, canKeep);
+        takeCurrent(std::move(items), std::move(state), document.version, keepUntil);
     }
-    if (canKeep && !kept.empty())
-        keep(kept, m_decode(documentOf(document.version, kept)));
+    if (keepUntil && !kept.empty())
+        keep(kept, m_decode(documentOf(document.version, kept)), *keepUntil);
     update();
     return m_digest != digestBefore || m_kept.size() != keptBefore || configurationVersion() != configurationBefore;
 }
@@ -78,15 +79,13 @@
     m_isConfigurationKept = true;
 }
 
-void OperatorDocument::takeCurrent(Items items, OperatorState state, const SourceVersion& version, bool canKeep)
+void OperatorDocument::takeCurrent(
+    Items items, OperatorState state, const SourceVersion& version, std::optional<SteadyTime> keepUntil)
 {
     const bool isNewEra = m_version.isKnown() && version.era > m_version.era;
     setVersion(version, state.evacuated);
-    if (isNewEra && canKeep) {
-        Items before;
-        for (const auto& [dataCentre, key] : m_state.evacuationKeys)
-            before.emplace(key, m_kept.contains(dataCentre) ? m_kept[dataCentre].value : m_items[key]);
-        keep(before, OperatorState(m_state));
+    if (isNewEra && keepUntil) {
+        keep(m_items, OperatorState(m_state), *keepUntil);
     }
     const bool isConfigurationLater
         = state.configuration && (!m_state.configuration || versionOf(state) > configurationVersion());
@@ -116,26 +115,26 @@
     if (version <= m_version)
         return;
     std::set<DataCentreName> evacuated = m_state.evacuated;
-    for (const auto& [dataCentre, item] : m_kept)
+    for (const auto& [dataCentre, kept] : m_kept)
         evacuated.erase(dataCentre);
     setVersion(version, evacuated);
 }
 
-void OperatorDocument::keep(const Items& items, const OperatorState& state)
+void OperatorDocument::keep(const Items& items, const OperatorState& state, SteadyTime until)
 {
     for (const auto& [dataCentre, key] : state.evacuationKeys) {
         const auto found = items.find(key);
         if (found != items.end() && !m_evacuatedInEra.contains(dataCentre))
-            m_kept.emplace(dataCentre, SourceItem { key, found->second });
+            m_kept.emplace(dataCentre, Kept { { key, found->second }, until });
     }
 }
 
 void OperatorDocument::update()
 {
-    std::erase_if(m_kept, [this](const auto& kept) { return m_items.contains(kept.second.key); });
+    std::erase_if(m_kept, [this](const auto& kept) { return m_items.contains(kept.second.item.key); });
     std::erase_if(m_state.evacuationKeys, [this](const auto& known) { return !m_items.contains(known.second); });
-    for (const auto& [dataCentre, item] : m_kept)
-        m_state.evacuationKeys.emplace(dataCentre, item.key);
+    for (const auto& [dataCentre, kept] : m_kept)
+        m_state.evacuationKeys.emplace(dataCentre, kept.item.key);
     m_state.evacuated.clear();
     for (const auto& [dataCentre, key] : m_state.evacuationKeys)
         m_state.evacuated.insert(dataCentre);
@@ -143,11 +142,10 @@
     m_digest = hashOf(encode(m_items));
 }
 
-bool OperatorDocument::dropKept()
+bool OperatorDocument::dropKept(SteadyTime asOf)
 {
-    if (m_kept.empty())
+    if (std::erase_if(m_kept, [&](const auto& kept) { return kept.second.until <= asOf; }) == 0)
         return false;
-    m_kept.clear();
     update();
     return true;
 }
@@ -155,7 +153,7 @@
 std::vector<DataCentreName> OperatorDocument::keptEvacuations() const
 {
     std::vector<DataCentreName> result;
-    for (const auto& [dataCentre, item] : m_kept)
+    for (const auto& [dataCentre, kept] : m_kept)
         result.push_back(dataCentre);
     return result;
 }
@@ -163,8 +161,8 @@
 std::string OperatorDocument::text() const
 {
     Items items = m_items;
-    for (const auto& [dataCentre, item] : m_kept)
-        items.emplace(std::string(keptPrefix) + item.key, item.value);
+    for (const auto& [dataCentre, kept] : m_kept)
+        items.emplace(std::string(keptPrefix) + kept.item.key, kept.item.value);
     return encode(items);
 }
 
--- a/snipeweir/fleet/OperatorDocument.h
+++ b/snipeweir/fleet/OperatorDocument.h
@@ -24,16 +24,18 @@
 
     /// Takes a document of the source or of another node. Of one with an earlier version than version() in the same era
     /// only a later configuration is taken, and evacuations that the sender keeps. One of an earlier era is ignored.
-    /// @param canKeep Whether evacuations that the source lost are still kept.
+    /// @param keepUntil Time until which evacuations that the source lost in this era are kept; empty if it is over.
+    /// Those that it lost in an earlier one keep their time.
     /// @return Whether state() or digest() changed.
-    bool take(const SourceDocument&, bool canKeep);
+    bool take(const SourceDocument&, std::optional<SteadyTime> keepUntil);
 
     /// Records that the source has the document in force at a later version, which may be in a later era.
     void confirmVersion(const SourceVersion&);
 
-    /// Drops the evacuations that the source lost.
+    /// Drops the evacuations that the source lost and whose time is over.
+    /// @param asOf Time at which the document was last known to be current.
     /// @return Whether there were any.
-    bool dropKept();
+    bool dropKept(SteadyTime asOf);
 
     /// @return The data centres whose evacuation the source lost.
     std::vector<DataCentreName> keptEvacuations() const;
@@ -60,10 +62,10 @@
 
     static SourceDocument documentOf(const SourceVersion&, const Items&);
     void takeOlder(const Items& items, const OperatorState& state);
-    void takeCurrent(Items items, OperatorState state, const SourceVersion&, bool canKeep);
+    void takeCurrent(Items items, OperatorState state, const SourceVersion&, std::optional<SteadyTime> keepUntil);
     void setVersion(const SourceVersion&, const std::set<DataCentreName>& evacuated);
     /// Keeps evacuations that the document doesn't have.
-    void keep(const Items& items, const OperatorState& state);
+    void keep(const Items& items, const OperatorState& state, SteadyTime until);
     /// Brings state() and digest() up to date with the items and the evacuations that are kept.
     void update();
 
@@ -75,8 +77,12 @@
     Items m_items;
     /// Data centres that the source had out of service at some time of the current era.
     std::set<DataCentreName> m_evacuatedInEra;
-    /// Evacuations that the source lost.
-    std::map<DataCentreName, SourceItem> m_kept;
+    /// Evacuation that the source lost.
+    struct Kept {
+        SourceItem item;
+        SteadyTime until;
+    };
+    std::map<DataCentreName, Kept> m_kept;
     OperatorState m_state;
     bool m_isConfigurationKept = false;
 };
--- a/snipeweir/relay/FleetFollower.cpp
+++ b/snipeweir/relay/FleetFollower.cpp
@@ -227,10 +227,7 @@
 
 void FleetFollower::expireKeptEvacuations()
 {
-    const auto begin = m_eras.begin();
-    if (!begin || m_pollSchedule.lastCurrentAt() < *begin + OperatorDocument::evacuationGrace)
-        return;
-    if (!m_operators.dropKept())
+    if (!m_operators.dropKept(m_pollSchedule.lastCurrentAt()))
         return;
     m_compressedOperators.clear();
     updateOperatorState();
@@ -447,7 +444,10 @@
 void FleetFollower::applyOperators(const SourceDocument& document)
 {
     const OperatorState before = m_operators.state();
-    const bool isChanged = m_operators.take(document, isSourceCatchingUp());
+    std::optional<SteadyTime> keepUntil;
+    if (isSourceCatchingUp())
+        keepUntil = *m_eras.begin() + OperatorDocument::evacuationGrace;
+    const bool isChanged = m_operators.take(document, keepUntil);
     m_operatorsVersion = { m_operators.version(), m_operators.digest() };
     m_freshness.onDocument(m_operators.digest());
     const OperatorState& state = m_operators.state();
--- a/tests/fleet/OperatorDocumentTests.cpp
+++ b/tests/fleet/OperatorDocumentTests.cpp
@@ -39,17 +39,20 @@
     return { { Revision { revision }, era }, encodeItems(items) };
 }
 
+constexpr SteadyTime keepUntil { std::chrono::hours(1) };
+
 /// An operators' document that takes lists of the source.
 struct Operators {
     OperatorDocument document { decode };
 
     bool take(uint64_t era, uint64_t revision, const Items& items, bool canKeep = true)
     {
-        return document.take(::document(era, revision, items), canKeep);
+        return document.take(::document(era, revision, items), canKeep ? std::optional(keepUntil) : std::nullopt);
     }
     bool take(const Operators& other, bool canKeep = true)
     {
-        return document.take({ other.document.version(), other.document.text() }, canKeep);
+        return document.take(
+            { other.document.version(), other.document.text() }, canKeep ? std::optional(keepUntil) : std::nullopt);
     }
     uint64_t configuration() const { return document.configurationVersion().value; }
     /// Data centres out of service, in order and separated by spaces; those that are kept have an asterisk.
@@ -123,10 +126,10 @@
         // The source is restored once more.
         node.take(3, 70, { { "config", "5" } });
         CHECK(node.evacuated() == "a* b*");
-        CHECK(node.document.dropKept());
+        CHECK(node.document.dropKept(keepUntil));
         CHECK(node.evacuated().empty());
         CHECK(node.document.state().evacuationKeys.empty());
-        CHECK_FALSE(node.document.dropKept());
+        CHECK_FALSE(node.document.dropKept(keepUntil));
     }
     SUBCASE("until it is written again, and lifted")
     {
@@ -183,7 +186,7 @@
     CHECK(fetcher.document.digest() == node.document.digest());
     // Kept evacuations end at each node for itself, which isn't a change of the document.
     const uint64_t digest = node.document.digest();
-    CHECK(node.document.dropKept());
+    CHECK(node.document.dropKept(keepUntil));
     CHECK(node.document.digest() == digest);
     CHECK(node.document.text() != fetcher.document.text());
     const auto items = decodeItems(node.document.text());
@@ -224,7 +227,7 @@
                 node.take(nodes[random.below(nodes.size())], random.below(3) != 0);
             }
             if (random.below(8) == 0)
-                node.document.dropKept();
+                node.document.dropKept(keepUntil);
             RC_ASSERT(node.configuration() >= highest[index]);
             highest[index] = node.configuration();
             Operators started;
@@ -257,7 +260,7 @@
     node.take(1, 90, { { "out/a", "1" } });
     node.take(2, 80, { { "kept/out/b", "1" } });
     CHECK(node.evacuated() == "a* b*");
-    node.document.dropKept();
+    node.document.dropKept(keepUntil);
     // The same text in the next era.
     node.take(3, 70, { { "kept/out/b", "1" } });
     CHECK(node.evacuated() == "b*");
@@ -303,3 +306,16 @@
     }
     CHECK(node.evacuated().empty());
 }
+
+TEST_CASE("Evacuations that the source lost in several eras add up until no data centre is in service")
+{
+    Operators node;
+    node.take(1, 90, { { "config", "5" }, { "out/a", "1" } });
+    node.take(2, 80, { { "config", "5" } });
+    node.take(2, 81, { { "config", "5" }, { "out/b", "1" } });
+    node.document.take(document(3, 70, { { "config", "5" } }), keepUntil + std::chrono::seconds(3));
+    CHECK(node.document.keptEvacuations().size() == 2);
+    CHECK(node.document.dropKept(keepUntil));
+    CHECK(node.document.keptEvacuations() == std::vector { DataCentreName("b") });
+    CHECK(node.document.dropKept(keepUntil + std::chrono::seconds(3)));
+}
--- a/tests/platform/fuzz/DecoderFuzz.cpp
+++ b/tests/platform/fuzz/DecoderFuzz.cpp
@@ -194,13 +194,13 @@
 void takeOperators(const std::string& text, Checks& checks)
 {
     OperatorDocument operators(decodeOperators);
-    operators.take(documentOf({ { "op/config", validConfiguration }, { "op/evacuate/a", "{}" } }), true);
-    operators.take({ { Revision { 5 }, 2 }, text }, true);
-    operators.take({ { Revision { 4 }, 2 }, text }, true);
+    operators.take(documentOf({ { "op/config", validConfiguration }, { "op/evacuate/a", "{}" } }), SteadyTime::max());
+    operators.take({ { Revision { 5 }, 2 }, text }, SteadyTime::max());
+    operators.take({ { Revision { 4 }, 2 }, text }, SteadyTime::max());
     checks.require(operators.configurationVersion() >= Revision { 0x1c }, "a configuration doesn't revert");
     checks.require(operators.state().evacuated.contains(DataCentreName("a")), "an evacuation is kept");
     OperatorDocument started(decodeOperators);
-    started.take({ operators.version(), operators.text() }, true);
+    started.take({ operators.version(), operators.text() }, SteadyTime::max());
     checks.require(started.configurationVersion() == operators.configurationVersion()
             && started.state().evacuated == operators.state().evacuated,
         "the document for other nodes carries what is in force");
