--- a/snipeweir/fleet/BackendRegistry.cpp
+++ b/snipeweir/fleet/BackendRegistry.cpp
@@ -63,7 +63,7 @@
 void BackendRegistry::setVersion(const SourceVersion& version)
 {
     if (version.era != m_version.era)
-        m_eraStart = version;
+        m_firstVersionOfEra = version;
     m_version = version;
 }
 
@@ -200,7 +200,7 @@
 
 void BackendRegistry::setMissing(const std::string& key, Record& record)
 {
-    const bool wasWrittenInEra = record.version > m_eraStart;
+    const bool wasWrittenInEra = record.version > m_firstVersionOfEra;
     if (isUsed(record) && !record.hasDrained && !wasWrittenInEra && isKeepingMissing())
         record.state = State::Kept;
     else
--- a/snipeweir/fleet/BackendRegistry.h
+++ b/snipeweir/fleet/BackendRegistry.h
@@ -214,7 +214,7 @@
     Decode m_decode;
     SourceVersion m_version;
     /// First version that was taken in the current era.
-    SourceVersion m_eraStart;
+    SourceVersion m_firstVersionOfEra;
     SteadyTime m_keepUntil {};
     /// By key, with the removed ones.
     std::map<std::string, Record> m_records;
--- a/snipeweir/fleet/OperatorDocument.cpp
+++ b/snipeweir/fleet/OperatorDocument.cpp
@@ -84,9 +84,8 @@
 {
     const bool isNewEra = m_version.isKnown() && version.era > m_version.era;
     setVersion(version, state.evacuated);
-    if (isNewEra && keepUntil) {
+    if (isNewEra && keepUntil)
         keep(m_items, OperatorState(m_state), *keepUntil);
-    }
     const bool isConfigurationLater
         = state.configuration && (!m_state.configuration || versionOf(state) > configurationVersion());
     m_isConfigurationKept = false;
