Deliver responses on their way until the process of a planned stop ends

Cause: StopSchedule had one time at which runs, the wait for responses and their delivery ended.

Change: a time for each. Idle connections are closed at 5.3 s. Requests without a response are answered with 504 at 5.75 s, which also lets complete responses behind them go out. Responses are delivered until 5.94 s. The deadline of the server's run no longer limits the wait for its response. A request whose route usually takes longer than the time left is refused. docs/design/planned-stop.md says what each kind of request gets.

--- a/snipeweir/admission/StopSchedule.h
+++ b/snipeweir/admission/StopSchedule.h
@@ -7,12 +7,13 @@
 
 namespace snipeweir {
 
-/// Decides which requests a node still accepts between the signal to stop and the end of the grace period. Load:
+/// Decides what a request gets between the signal to stop and the end of the grace period: whether it is accepted,
+/// until when it may run, until when its response is awaited, and until when a response on its way is delivered. Load:
 /// callers that have not yet noticed that the node is leaving, and whose requests may run as long as their deadlines
 /// allow; in a rolling stop of a busy fleet also the requests of other nodes, since the backend server goes on and the
 /// process has to wait for the callers anyway. A request that is cut off at the end may have run, so the caller must
 /// not repeat it; a refused one can be sent to another node at once. All functions are deterministic and perform no
-/// I/O.
+/// I/O. The order of the phases is described in docs/design/planned-stop.md.
 class StopSchedule {
 public:
     struct Settings {
@@ -25,9 +26,14 @@
         std::chrono::milliseconds serverTime { 2000 };
         /// Part of the grace period in which requests are accepted, in percent, if it is short.
         uint32_t maxAcceptPercent = 50;
-        /// Part of the grace period reserved for closing connections and ending the process, half of it for each.
-        std::chrono::milliseconds exitReserve { 700 };
-        /// Time before the end of the last request in which its response is sent on.
+        /// Time before the end of the grace period at which idle connections are closed and no more are accepted.
+        std::chrono::milliseconds closingReserve { 700 };
+        /// Time before the end of the grace period at which a request whose response has not begun is answered without
+        /// it, so that this answer and those behind it on the connection still arrive.
+        std::chrono::milliseconds answerReserve { 250 };
+        /// Time before the end of the grace period at which the process ends, in which it closes its sockets.
+        std::chrono::milliseconds exitReserve { 60 };
+        /// Time between the end of the last run and closingBegin().
         std::chrono::milliseconds responseReserve { 150 };
     };
 
@@ -38,54 +44,63 @@
         , m_stoppedAt(stoppedAt)
         , m_acceptUntil(stoppedAt + std::min(settings.acceptTime, grace * settings.maxAcceptPercent / 100))
         , m_serverUntil(stoppedAt + std::min(settings.serverTime, grace / 3))
-        , m_end(stoppedAt + std::max(grace - settings.exitReserve, grace / 2))
-        , m_closingEnd(m_end + (stoppedAt + grace - m_end) / 2)
+        , m_closingBegin(stoppedAt + std::max(grace - settings.closingReserve, grace / 2))
+        , m_answerEnd(stoppedAt + std::max(grace - settings.answerReserve, grace * 3 / 4))
+        , m_exitAt(stoppedAt + std::max(grace - settings.exitReserve, grace * 9 / 10))
     {
     }
 
-    /// @return Time at which requests still in flight are cut off.
-    SteadyTime end() const { return m_end; }
+    /// @return Time at which idle connections are closed and no more are accepted; requests in flight go on.
+    SteadyTime closingBegin() const { return m_closingBegin; }
 
-    /// @return Time until which the process may wait for connections that are being closed.
-    SteadyTime closingEnd() const { return m_closingEnd; }
+    /// @return Time at which the requests whose responses have not begun are answered without them.
+    SteadyTime answerEnd() const { return m_answerEnd; }
+
+    /// @return Time at which the process ends; responses are delivered until then.
+    SteadyTime exitAt() const { return m_exitAt; }
 
     /// @return Time from which no request starts at the backend server beside the node.
     SteadyTime serverUntil() const { return m_serverUntil; }
 
-    /// @return The deadline of a request that starts at the backend server, early enough that it ends before end().
+    /// @return The deadline of the run of a request that starts now, early enough that its response can be delivered.
     SteadyTime limitDeadline(SteadyTime deadline) const
     {
-        return std::min(deadline, m_end - m_settings.responseReserve);
+        return std::min(deadline, m_closingBegin - m_settings.responseReserve);
     }
 
     /// @param deadline Deadline of the request.
-    /// @param targetLatency Latency up to which its response is on time.
-    /// @return The deadline with which the request is accepted, early enough that the backend server ends it before
-    /// end(); empty if the request must be refused.
-    std::optional<SteadyTime> accept(SteadyTime now, SteadyTime deadline, std::chrono::milliseconds targetLatency) const
+    /// @param expectedTime Time that its run may well take.
+    /// @return The deadline of its run, see limitDeadline(); empty if the request must be refused.
+    std::optional<SteadyTime> accept(SteadyTime now, SteadyTime deadline, std::chrono::nanoseconds expectedTime) const
     {
         if (now >= m_acceptUntil)
             return std::nullopt;
         const SteadyTime limited = limitDeadline(deadline);
-        if (limited < deadline && now + targetLatency > limited)
+        if (limited < deadline && now + expectedTime > limited)
             return std::nullopt;
         return limited;
     }
 
     /// @param isIdle Whether no request is in flight.
-    bool mayExit(SteadyTime now, bool isIdle) const
+    /// @return Whether idle connections may be closed.
+    bool mayClose(SteadyTime now, bool isIdle) const
     {
-        const auto notice = std::min<std::chrono::nanoseconds>(m_settings.readinessNoticeTime, m_end - m_stoppedAt);
-        return now >= m_end || (isIdle && now >= m_stoppedAt + notice);
+        const auto notice
+            = std::min<std::chrono::nanoseconds>(m_settings.readinessNoticeTime, m_closingBegin - m_stoppedAt);
+        return now >= m_closingBegin || (isIdle && now >= m_stoppedAt + notice);
     }
 
+    /// @param isIdle Whether no request is in flight and no connection is being closed.
+    bool mayExit(SteadyTime now, bool isIdle) const { return now >= m_exitAt || (isIdle && mayClose(now, isIdle)); }
+
 private:
     Settings m_settings;
     SteadyTime m_stoppedAt;
     SteadyTime m_acceptUntil;
     SteadyTime m_serverUntil;
-    SteadyTime m_end;
-    SteadyTime m_closingEnd;
+    SteadyTime m_closingBegin;
+    SteadyTime m_answerEnd;
+    SteadyTime m_exitAt;
 };
 
 }
--- a/snipeweir/relay/CallerCall.h
+++ b/snipeweir/relay/CallerCall.h
@@ -33,9 +33,16 @@
     /// Number of attempts, including those.
     uint32_t offers = 0;
     bool isCallerDisconnected = false;
+    /// Whether the node stops, and the request is answered with what is there.
+    bool hasWaitEnded = false;
+    bool hasBegunResponse = false;
+    /// The rest of a response that is being read before its turn; null if none is.
+    std::shared_ptr<HttpExchange> heldRest;
     std::optional<Response> response;
     /// Tokens of the quota of the request's organisation.
     Quotas::Ticket quota;
+
+    bool isAwaited() const { return !isCallerDisconnected && !hasWaitEnded; }
 };
 
 /// One attempt to send a call to one node.
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -86,13 +86,10 @@
     request.deadline = call->arrivedAt + callerTimeout;
     if (route.timeout.count() > 0)
         request.deadline = std::min(request.deadline, call->arrivedAt + route.timeout);
-    if (m_stopSchedule) {
-        const auto deadline = m_stopSchedule->accept(call->startedAt, request.deadline, route.targetLatency);
-        if (!deadline) {
-            co_await writeLocalResponse(connection, 503, id, Reason::Draining);
-            co_return;
-        }
-        request.deadline = *deadline;
+    request.responseDeadline = request.deadline;
+    if (!mayServe(*call)) {
+        co_await writeLocalResponse(connection, 503, id, Reason::Draining);
+        co_return;
     }
     if (request.deadline <= call->startedAt) {
         // The request has waited for earlier requests of its connection.
@@ -144,6 +141,7 @@
                 current->response->rest->cancel();
         }
     });
+    m_calls.insert(call.get());
     co_await relay(call);
     m_server.retries().onAnswered(request.service,
         call->response->kind == Response::Kind::NotRun ? call->response->reason : Reason::None,
@@ -154,12 +152,48 @@
     if (!call->response->rest)
         connection.stopWatching();
 
+    call->hasBegunResponse = true;
     const bool isWritten = !call->isCallerDisconnected && co_await writeResponse(connection, *call);
+    m_calls.erase(call.get());
     logResponse(*call, isWritten);
     if (connection.cancelReason() == RequestConnection::CancelReason::PeerClosed)
         ++m_counters.callerDisconnects;
 }
 
+bool CallerPath::mayServe(Call& call)
+{
+    if (!m_stopSchedule)
+        return true;
+    const std::chrono::duration<double, std::micro> serviceTime(
+        m_statistics.findLargest(*call.route).serviceTimeMicroseconds);
+    const auto expectedTime = std::max<std::chrono::nanoseconds>(
+        call.route->targetLatency, std::chrono::duration_cast<std::chrono::nanoseconds>(serviceTime));
+    const auto deadline = m_stopSchedule->accept(call.startedAt, call.request.deadline, expectedTime);
+    if (deadline)
+        call.request.deadline = *deadline;
+    return deadline.has_value();
+}
+
+void CallerPath::answerAwaiting()
+{
+    for (Call* call : m_calls) {
+        if (call->hasBegunResponse)
+            continue;
+        call->hasWaitEnded = true;
+        call->wakeTimer.cancel();
+        if (call->heldRest)
+            call->heldRest->cancel();
+    }
+}
+
+void CallerPath::logUnfinished()
+{
+    for (const Call* call : m_calls) {
+        if (call->response)
+            logResponse(*call, false);
+    }
+}
+
 void CallerPath::logResponse(const Call& call, bool isWritten)
 {
     const Response& response = *call.response;
@@ -233,7 +267,7 @@
         if (const auto current = weak.lock())
             current->cancel();
     });
-    const SteadyTime deadline = request.deadline + responseGracePeriod;
+    const SteadyTime deadline = request.responseDeadline + responseGracePeriod;
     std::string head = hop_codec::requestHead(request, m_names.callId, m_clock.now());
     StepResult end = StepResult::Complete;
     if (hop_codec::mustWaitForContinue(request))
@@ -296,6 +330,7 @@
     const bool isIdempotentCall = isIdempotent(call->request.kind);
     const auto hedgeAfter = call->route->targetLatency * m_settings.hedgeAfterPercent / 100;
     const SteadyTime deadline = call->request.deadline;
+    const SteadyTime responseEnd = call->request.responseDeadline + responseGracePeriod;
     bool mustSend = true;
     bool hasHedged = false;
     Purpose purpose = Purpose::Primary;
@@ -303,7 +338,7 @@
 
     for (;;) {
         // Send the request to one more backend server.
-        if (mustSend && !call->isCallerDisconnected) {
+        if (mustSend && call->isAwaited()) {
             mustSend = false;
             auto attempt = std::make_shared<Attempt>();
             attempt->request = call->request;
@@ -321,7 +356,7 @@
             if (entry && purpose == Purpose::Hedge && !mayRetry(*call, RetryReason::Hedge, RetryReport()))
                 entry = nullptr;
             purpose = Purpose::Primary;
-            if (entry && !call->isCallerDisconnected) {
+            if (entry && call->isAwaited()) {
                 attempt->ip = entry->address.ip;
                 attempt->incarnation = entry->incarnation();
                 call->attemptedNodes.push_back(attempt->ip);
@@ -361,7 +396,7 @@
                     && (response.wasSent ? mayRetry(*call, RetryReason::AfterRefusal, response.retryReport)
                                          : call->attemptCount < call->route->maxAttempts);
                 mustSend = mustSend || mayOffer;
-            } else if (isIdempotentCall && !call->isCallerDisconnected && m_clock.now() < deadline
+            } else if (isIdempotentCall && call->isAwaited() && m_clock.now() < deadline
                 && mayRetry(*call, RetryReason::AfterConnectionLost, response.retryReport)) {
                 mustSend = true;
             }
@@ -372,12 +407,13 @@
         }
         if (call->response)
             break;
-        if (mustSend && !call->isCallerDisconnected && m_clock.now() < deadline)
+        if (mustSend && call->isAwaited() && m_clock.now() < deadline)
             continue;
-        if (call->isCallerDisconnected || !hasPendingAttempt || m_clock.now() >= deadline + responseGracePeriod) {
-            if (hasPendingAttempt)
-                fallback = Response::unknown(
-                    call->isCallerDisconnected ? Reason::CancelledWhileRunning : Reason::DeadlineWhileRunning);
+        if (!call->isAwaited() || !hasPendingAttempt || m_clock.now() >= responseEnd) {
+            if (hasPendingAttempt && call->isCallerDisconnected)
+                fallback = Response::unknown(Reason::CancelledWhileRunning);
+            else if (hasPendingAttempt)
+                fallback = Response::unknown(call->hasWaitEnded ? Reason::Draining : Reason::DeadlineWhileRunning);
             call->response = std::move(fallback);
             break;
         }
@@ -385,9 +421,9 @@
         // Wait for a response, the time to hedge, or the deadline.
         const SteadyTime hedgeAt = call->startedAt + hedgeAfter;
         const bool mayHedge = isIdempotentCall && !hasHedged && call->attemptCount < call->route->maxAttempts;
-        call->wakeTimer.expires_at(mayHedge && hedgeAt < deadline ? hedgeAt : deadline + responseGracePeriod);
+        call->wakeTimer.expires_at(mayHedge && hedgeAt < deadline ? hedgeAt : responseEnd);
         co_await call->wakeTimer.async_wait(asTuple);
-        if (mayHedge && !call->isCallerDisconnected && m_clock.now() >= hedgeAt && m_clock.now() < deadline) {
+        if (mayHedge && call->isAwaited() && m_clock.now() >= hedgeAt && m_clock.now() < deadline) {
             hasHedged = true;
             const bool isStillPending = std::any_of(call->attempts.begin(), call->attempts.end(),
                 [](const auto& attempt) { return !attempt->isProcessed && !attempt->response; });
@@ -445,7 +481,8 @@
             response.status = CallerAuthentication::statusFor(response.reason), call.request.id.text(),
             response.reason);
     if (response.kind == Response::Kind::Unknown) {
-        const bool isLate = m_clock.now() >= call.request.deadline || response.reason == Reason::DeadlineWhileRunning;
+        const bool isLate = m_clock.now() >= call.request.deadline || response.reason == Reason::DeadlineWhileRunning
+            || response.reason == Reason::Draining;
         response.status = isLate ? 504 : 502;
         co_return co_await writeLocalResponse(connection, response.status, call.request.id.text(), response.reason);
     }
@@ -459,8 +496,8 @@
         isWritten = co_await connection.writeComplete(std::move(head), response.body, m_clock.now() + writeTimeout);
     } else {
         bytes = std::max<size_t>(response.body.size(), response.rest->contentLength().value_or(0));
-        isWritten = co_await connection.writeStreamed(
-            std::move(head), std::move(response.body), *response.rest, call.request.deadline + writeTimeout, m_clock);
+        isWritten = co_await connection.writeStreamed(std::move(head), std::move(response.body), *response.rest,
+            call.request.responseDeadline + writeTimeout, m_clock);
         response.rest.reset();
         // Until the body is there its length is only a claim.
         if (!isWritten)
--- a/snipeweir/relay/CallerPath.h
+++ b/snipeweir/relay/CallerPath.h
@@ -13,6 +13,7 @@
 #include "snipeweir/telemetry/Metrics.h"
 
 #include <unordered_map>
+#include <unordered_set>
 
 namespace snipeweir {
 
@@ -61,6 +62,13 @@
     /// accepted any more.
     void closeIdleCallers();
 
+    /// Answers the requests whose responses have not begun, before the process ends: nothing more is awaited for them.
+    /// Responses that are complete but wait for their turn behind such a request can then be delivered.
+    void answerAwaiting();
+
+    /// Logs the requests that the end of the process cuts off.
+    void logUnfinished();
+
     /// Called when a response says that its backend server leaves, at most once for each response.
     std::function<void(const BackendIncarnation&)> onLeaving;
 
@@ -86,6 +94,9 @@
     /// Serves a request that was read while earlier ones of its connection were in progress.
     asio::awaitable<void> servePipelined(std::shared_ptr<RequestConnection>);
     asio::awaitable<void> serveRequest(RequestConnection&);
+    /// @return Whether the request may be served; otherwise a planned stop leaves too little time for it. Shortens the
+    /// deadline of its run if necessary.
+    bool mayServe(Call&);
     static ResponseSequencer::RunMode runMode(RouteKind);
     /// @return Whether the request may run now; it then counts as started.
     bool tryStart(RequestConnection&);
@@ -146,6 +157,8 @@
     std::map<std::string, LateRequestDetector> m_lateRequestDetectors;
     Counters m_counters;
     size_t m_inFlight = 0;
+    /// Requests that have been accepted and whose responses have not been written.
+    std::unordered_set<Call*> m_calls;
     /// Connections that are not being closed.
     std::unordered_map<const CallerConnection*, std::weak_ptr<CallerConnection>> m_connections;
     size_t m_closingConnections = 0;
--- a/snipeweir/relay/CallerPipeline.cpp
+++ b/snipeweir/relay/CallerPipeline.cpp
@@ -123,9 +123,7 @@
     const auto target = request.request().target();
     const std::string host(request.request()[boost::beast::http::field::host]);
     const Route* route = routes ? routes->find(host, { target.data(), target.size() }) : nullptr;
-    double expectedBytes = 0;
-    for (size_t i = 0; route && i < route->shares.size(); ++i)
-        expectedBytes = std::max(expectedBytes, m_statistics.find(*route, route->shares[i].service).responseBytes);
+    const double expectedBytes = route ? m_statistics.findLargest(*route).responseBytes : 0;
     // A request without a route runs nowhere.
     return request.tryStart(runMode(route ? route->kind : RouteKind::Idempotent), static_cast<size_t>(expectedBytes));
 }
@@ -142,7 +140,7 @@
 {
     Response& response = *call.response;
     const auto mustHold = [&] { return !connection.isTurn() || connection.hasStartedBehind(); };
-    while (response.rest && !call.isCallerDisconnected && mustHold()) {
+    while (response.rest && call.isAwaited() && mustHold()) {
         // Growing the string needs memory for its old and its new content.
         const size_t needed = response.body.size() + readChunkBytes;
         if (needed > response.body.capacity()) {
@@ -152,13 +150,16 @@
                 break;
             response.body.reserve(capacity);
         }
-        const std::shared_ptr<HttpExchange> rest = response.rest;
-        const StepResult end = co_await rest->readBody(response.body, call.request.deadline + readTimeout);
+        call.heldRest = response.rest;
+        const StepResult end
+            = co_await call.heldRest->readBody(response.body, call.request.responseDeadline + readTimeout);
+        call.heldRest.reset();
         if (end == StepResult::Complete)
             response.rest.reset();
-        else if (end != StepResult::More)
-            response = Response::unknown(
-                end == StepResult::TimedOut ? Reason::DeadlineWhileRunning : Reason::ResponseTruncated);
+        else if (end == StepResult::TimedOut)
+            response = Response::unknown(Reason::DeadlineWhileRunning);
+        else if (end == StepResult::Broken)
+            response = Response::unknown(call.hasWaitEnded ? Reason::Draining : Reason::ResponseTruncated);
     }
 }
 
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -356,13 +356,14 @@
     const StopSchedule schedule(StopSchedule::Settings(), m_clock.now(), m_settings.stopGrace);
     m_stopSchedule = schedule;
     m_callers.startDraining(schedule);
+    const auto isIdle = [this] { return m_callers.inFlight() == 0 && m_peerRequestsInFlight == 0; };
     Timer timer(m_context);
-    do {
-        timer.expires_after(drainPollInterval);
+    while (!schedule.mayClose(m_clock.now(), isIdle())) {
+        timer.expires_at(std::min(m_clock.now() + drainPollInterval, schedule.closingBegin()));
         co_await timer.async_wait(asTuple);
         if (m_clock.now() >= schedule.serverUntil())
             m_server.stopTakingRequests();
-    } while (!schedule.mayExit(m_clock.now(), m_callers.inFlight() == 0 && m_peerRequestsInFlight == 0));
+    }
     // The end of the process closes its sockets at once. A response that is still on its way would be lost with a
     // connection on which the caller sends more.
     for (asio::ip::tcp::acceptor& acceptor : m_acceptors) {
@@ -370,10 +371,18 @@
         acceptor.close(ignored);
     }
     m_callers.closeIdleCallers();
+    bool isAwaitingResponses = true;
+    const auto hasEnded = [&] { return isIdle() && m_callers.closingConnections() + m_closingConnections == 0; };
     do {
-        timer.expires_after(drainPollInterval);
+        const SteadyTime next = isAwaitingResponses ? schedule.answerEnd() : schedule.exitAt();
+        timer.expires_at(std::min(m_clock.now() + drainPollInterval, next));
         co_await timer.async_wait(asTuple);
-    } while (m_callers.closingConnections() + m_closingConnections > 0 && m_clock.now() < schedule.closingEnd());
+        if (isAwaitingResponses && m_clock.now() >= schedule.answerEnd()) {
+            isAwaitingResponses = false;
+            m_callers.answerAwaiting();
+        }
+    } while (!schedule.mayExit(m_clock.now(), hasEnded()));
+    m_callers.logUnfinished();
     m_log.logStateChange("stopped", { { "in_flight", std::to_string(m_callers.inFlight() + m_peerRequestsInFlight) } });
     m_context.stop();
 }
--- a/snipeweir/relay/RelayRequest.h
+++ b/snipeweir/relay/RelayRequest.h
@@ -62,7 +62,10 @@
     uint32_t priority = 0;
     /// Time after which the response is late.
     SteadyTime targetAt;
+    /// Time by which the backend server must have ended the run.
     SteadyTime deadline;
+    /// Time until which the response is awaited: the deadline, or later if the run has to end before a node stops.
+    SteadyTime responseDeadline;
     /// Usual service time on a backend server that is not slowed down; zero if unknown.
     std::chrono::microseconds expectedServiceTime { 0 };
     /// Instance of the backend server that the sender has chosen.
--- a/snipeweir/relay/RouteStatistics.h
+++ b/snipeweir/relay/RouteStatistics.h
@@ -21,6 +21,18 @@
 
     const Entry& find(const Route& route, const ServiceName& service) { return m_entries[key(route, service)]; }
 
+    /// @return For each figure the largest of all services that the route leads to.
+    Entry findLargest(const Route& route)
+    {
+        Entry largest;
+        for (const ServiceShare& share : route.shares) {
+            const Entry& entry = find(route, share.service);
+            largest.serviceTimeMicroseconds = std::max(largest.serviceTimeMicroseconds, entry.serviceTimeMicroseconds);
+            largest.responseBytes = std::max(largest.responseBytes, entry.responseBytes);
+        }
+        return largest;
+    }
+
     /// Adds the sample of one response.
     /// @param measuredServiceTime Service time as measured, including any slowdown.
     /// @param slownessPercent Slowness of the backend server when the request started, in percent of the usual service
--- a/tests/admission/StopScheduleTests.cpp
+++ b/tests/admission/StopScheduleTests.cpp
@@ -17,14 +17,15 @@
 {
     for (const auto grace : { 1000ms, 3000ms, 6000ms, 10'000ms, 60'000ms }) {
         const StopSchedule schedule = scheduleWith(grace);
-        CHECK(schedule.end() < schedule.closingEnd());
-        CHECK(schedule.closingEnd() < stop + grace);
+        CHECK(schedule.closingBegin() < schedule.answerEnd());
+        CHECK(schedule.answerEnd() < schedule.exitAt());
+        CHECK(schedule.exitAt() < stop + grace);
         for (auto after = 0ms; after <= grace; after += 50ms) {
             for (const auto timeout : { 100ms, 600ms, 2500ms, 6000ms, 60'000ms }) {
                 const auto accepted = schedule.accept(stop + after, stop + after + timeout, 500ms);
                 if (!accepted)
                     continue;
-                CHECK(*accepted < schedule.end());
+                CHECK(*accepted < schedule.closingBegin());
                 CHECK(*accepted <= stop + after + timeout);
                 // It has its own deadline, or time for an ordinary run at least.
                 CHECK((*accepted == stop + after + timeout || *accepted >= stop + after + 500ms));
@@ -53,10 +54,30 @@
     CHECK_FALSE(schedule.mayExit(stop + 2500ms, true));
     CHECK(schedule.mayExit(stop + 2600ms, true));
     CHECK_FALSE(schedule.mayExit(stop + 5000ms, false));
-    CHECK(schedule.mayExit(schedule.end(), false));
+    CHECK(schedule.mayExit(schedule.exitAt(), false));
     const StopSchedule shortSchedule = scheduleWith(1000ms);
     CHECK(shortSchedule.mayExit(stop + 900ms, true));
-    CHECK(shortSchedule.end() < stop + 1000ms);
+    CHECK(shortSchedule.exitAt() < stop + 1000ms);
+}
+
+TEST_CASE("The process ends while a response is on its way, though the grace period has not ended")
+{
+    for (const auto grace : { 1000ms, 3000ms, 6000ms, 10'000ms, 60'000ms }) {
+        const StopSchedule schedule = scheduleWith(grace);
+        CHECK(schedule.mayClose(schedule.closingBegin(), false));
+        CHECK_FALSE(schedule.mayExit(schedule.answerEnd(), false));
+        CHECK_FALSE(schedule.mayExit(schedule.exitAt() - 1ms, false));
+        CHECK(schedule.exitAt() >= stop + grace - std::max(60ms, grace / 10));
+    }
+}
+
+TEST_CASE("Connections are closed before callers were told to go elsewhere, or only after the end of the grace period")
+{
+    const StopSchedule schedule = scheduleWith(6000ms);
+    CHECK_FALSE(schedule.mayClose(stop + 2500ms, true));
+    CHECK(schedule.mayClose(stop + 2600ms, true));
+    CHECK_FALSE(schedule.mayClose(stop + 5000ms, false));
+    CHECK(schedule.mayClose(stop + 5300ms, false));
 }
 
 TEST_CASE("A run at the backend server starts too late to end before callers have gone, or outlives the node")
@@ -65,8 +86,8 @@
         const StopSchedule schedule = scheduleWith(grace);
         CHECK(schedule.serverUntil() > stop);
         CHECK(schedule.serverUntil() <= stop + 2000ms);
-        CHECK(schedule.serverUntil() < schedule.end());
-        CHECK(schedule.limitDeadline(stop + 60s) < schedule.end());
+        CHECK(schedule.serverUntil() < schedule.closingBegin());
+        CHECK(schedule.limitDeadline(stop + 60s) < schedule.closingBegin());
         CHECK(schedule.limitDeadline(stop + 100ms) == stop + 100ms);
     }
 }
--- a/tests/relay/fleet.py
+++ b/tests/relay/fleet.py
@@ -280,7 +280,8 @@
     signature), encoded (sets Content-Encoding), shed (refuses without running), shed_twice (refuses every other
     request, and sends each refusal once more later), endless (see endless), unframed (the response has no length
     and ends with its connection), unframed_reset (the same, reset within the body), stall (sends the first 100 KB of a
-    response and then nothing), close_reused (closes a connection at its second request without a response)."""
+    response and then nothing), close_reused (closes a connection at its second request without a response), slow_link
+    (runs as in the mode ok, then the response arrives with link_bytes_per_second)."""
 
     def __init__(self, instance, service, service_time=0.05):
         self.instance, self.service, self.service_time = instance, service, service_time
@@ -302,6 +303,7 @@
         self.endless = None  # Bytes to send, and bytes to repeat after them until the node closes the connection.
         self.endless_ends = []  # (begin, end) of such responses, the end when the node closed the connection.
         self.body = b"x" * 300
+        self.link_bytes_per_second = 500_000
         self.head_bytes = 0  # Length of the truncated head.
         self.refuses_with_id = True  # Whether refusals carry the request's id.
         self.repeat_delay = 0.03  # Seconds until a refusal or an extra response is sent.
@@ -381,6 +383,14 @@
         finally:
             self.endless_ends.append((begin, time.monotonic()))
 
+    async def write_slowly(self, writer, response):
+        """Sends a response in parts, one every 20 ms."""
+        begin, part = time.monotonic(), int(self.link_bytes_per_second * 0.02)
+        for number, position in enumerate(range(0, len(response), part)):
+            await asyncio.sleep(max(0, begin + number * 0.02 - time.monotonic()))
+            writer.write(response[position:position + part])
+            await writer.drain()
+
     async def run(self, reader, writer, line, fields, body):
         request_id = fields.get("request-id", "")
         if fields.get("expected-instance", self.instance) != self.instance:
@@ -450,6 +460,9 @@
                 await asyncio.sleep(0.05)  # So that the bytes arrive before the reset.
                 reset(writer)
             raise ConnectionError
+        if mode == "slow_link":
+            await self.write_slowly(writer, response)
+            return
         writer.write(response)
         if mode == "extra":
             extra = response.replace(b"x", b"y")
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -168,6 +168,66 @@
         requests, _ = await self.stop_while_another_node_sends("until_deadline", 4000)
         self.assert_answered_or_never_run(requests)
 
+    async def stop_while_responses_arrive_slowly(self, stopping, kind, sent_after):
+        """Sends requests, on new and on kept connections, whose server works until 4.8 s after the signal to a node; the
+        responses arrive until 5.7 s after it."""
+        for node in self.fleet.nodes:
+            node.backend.mode, node.backend.service_time = "slow_link", 4.8 - sent_after
+            node.backend.body = b"x" * 450_000
+        connections = [KeptConnection(self.stopped) for _ in range(6)]
+        for connection in connections[:3]:
+            await connection.open()
+        begin = time.monotonic()
+        stopping.signal(signal.SIGTERM)
+        await asyncio.sleep(sent_after)
+        for connection in connections[3:]:
+            await connection.open()
+        requests = [Sent(kind, i < 3, sent_after) for i in range(len(connections))]
+        sends = [asyncio.ensure_future(self.send(sent, 8000, connection))
+                 for sent, connection in zip(requests, connections)]
+        self.assertEqual(await asyncio.wait_for(stopping.process.wait(), begin + GRACE - time.monotonic()), 0)
+        await asyncio.gather(*sends)
+        for sent in requests:
+            self.assertTrue(sent.status == 200 and sent.is_complete, f"status {sent.status}, kept {sent.is_kept}")
+
+    async def test_a_response_that_was_made_in_time_is_cut_at_the_node_that_took_the_request(self):
+        await self.stop_while_responses_arrive_slowly(self.stopped, ("GET", "/d/x"), 2.4)
+
+    async def test_a_response_that_was_made_in_time_is_cut_at_the_node_beside_its_server(self):
+        for node in (self.fleet.nodes[0], self.fleet.nodes[2]):
+            self.fleet.store.remove(f"servers/{node.backend.instance}")
+        await asyncio.sleep(2)
+        await self.stop_while_responses_arrive_slowly(self.fleet.nodes[1], ("POST", "/u/x"), 1.6)
+        self.assertGreater(len(self.fleet.nodes[1].backend.started), 0)
+
+    async def test_a_request_that_still_runs_at_the_end_takes_the_responses_behind_it_along(self):
+        self.fleet.configure([self.fleet.route("/s/", "safe", "one", "0ms"),
+                              self.fleet.route("/t/", "safe", "two", "0ms")])
+        await asyncio.sleep(2)
+        for node in self.fleet.nodes[:3]:
+            node.backend.mode = "hang"
+        reader, writer = await asyncio.open_connection(self.stopped.ip, PORTS["callers"])
+        ids = [self.fleet.new_id() for _ in range(3)]
+        writer.write(b"".join(
+            f"GET {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {request_id}\r\nDeadline-Ms: 20000\r\n\r\n".encode()
+            for path, request_id in zip(("/s/x", "/t/x", "/t/x"), ids)))
+        await asyncio.sleep(0.5)
+        self.assertEqual([self.runs(request_id) for request_id in ids[1:]], [1, 1])
+        begin = time.monotonic()
+        self.stopped.signal(signal.SIGTERM)
+        exited = asyncio.ensure_future(self.stopped.process.wait())
+        answers = []
+        for _ in ids:
+            head = await asyncio.wait_for(read_head(reader), GRACE)
+            if not head:
+                break
+            await reader.readexactly(int(head[1].get("content-length", 0)))
+            answers.append((int(head[0].split(" ")[1]), head[1].get("request-id")))
+        self.assertEqual(answers, list(zip((504, 200, 200), ids)))
+        self.assertEqual(await reader.read(), b"")  # The connection ends orderly.
+        writer.close()
+        self.assertEqual(await asyncio.wait_for(exited, begin + GRACE - time.monotonic()), 0)
+
     async def test_a_process_that_stops_while_operations_are_pending_crashes(self):
         # Pending operations must not outlive the parts of the node that they use when they are destroyed.
         self.fleet.configure([self.fleet.route("/s/", "safe", "one", "0ms"),
