--- a/tests/relay/test_closing.py
+++ b/tests/relay/test_closing.py
@@ -169,6 +169,15 @@
         await asyncio.gather(*(caller.read() for caller in callers))
         self.assertEqual([(caller.bodies(), caller.end) for caller in callers], [([540_000], "closed")] * 3)
 
+    async def test_a_caller_that_does_not_read_for_some_seconds_is_taken_for_a_dead_one(self):
+        for path in ("/s/x", "/t/x"):
+            with self.subTest(path):
+                caller = await self.open()
+                caller.send(self.request(path, "Connection: close\r\n"))
+                await asyncio.sleep(5)
+                await caller.read()
+                self.assertEqual((caller.bodies(), caller.end), ([BODY_BYTES], "closed"))
+
     async def test_a_complete_response_is_cut_by_one_behind_it_that_breaks_off(self):
         # The second response is too large to be held until the first has been written.
         async def finish_run(reader, writer, fields, request_id):
