--- a/snipeweir/relay/InboundConnection.cpp
+++ b/snipeweir/relay/InboundConnection.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-    /// Maximum time for which bytes sent to a caller may stay unacknowledged, or unsent since its window is closed. Longer
-    /// than all time limits for writing and closing, since a caller that pauses looks the same as a dead one.
+    /// Maximum time for which bytes sent to a caller may stay unacknowledged, or unsent since its window is closed.
+    /// Longer than all time limits for writing and closing, since a caller that pauses looks the same as a dead one.
     constexpr std::chrono::milliseconds callerUserTimeout { 12'000 };
     /// Time for which bytes are dropped once the peer's kernel has the response: enough for a peer on the same VM or
     /// data centre to notice the end of the connection, and too short to be used as a way to hold connections open.
