Refuse a request of another node that a planned stop may cut off

Cause: a node that stops limited the deadline of another node's request without asking whether it could end by then.

Change: StopSchedule::acceptFromPeer. A request whose deadline lies behind the limit is refused as "not run" if its run may well last longer: until its deadline if it may run once or its route's usual time is not known, for that time otherwise. The other node sends it elsewhere.

--- a/snipeweir/admission/StopSchedule.h
+++ b/snipeweir/admission/StopSchedule.h
@@ -62,12 +62,25 @@
     /// @return Time from which no request starts at the backend server beside the node.
     SteadyTime serverUntil() const { return m_serverUntil; }
 
-    /// @return The deadline of the run of a request that starts now, early enough that its response can be delivered.
+    /// @return The deadline of a run that starts now, early enough that its response can be delivered.
     SteadyTime limitDeadline(SteadyTime deadline) const
     {
         return std::min(deadline, m_closingBegin - m_settings.responseReserve);
     }
 
+    /// For a request of another node, which can send it elsewhere if it is refused.
+    /// @param deadline Deadline of the request.
+    /// @param mayEndAt Time at which its run may well end; the deadline if that is not known or it may not run again.
+    /// @return The deadline of its run, see limitDeadline(); empty if the run may be cut off by it.
+    std::optional<SteadyTime> acceptFromPeer(SteadyTime deadline, SteadyTime mayEndAt) const
+    {
+        const SteadyTime limited = limitDeadline(deadline);
+        if (limited < deadline && mayEndAt > limited)
+            return std::nullopt;
+        return limited;
+    }
+
+    /// For a request of a caller.
     /// @param deadline Deadline of the request.
     /// @param expectedTime Time that its run may well take.
     /// @return The deadline of its run, see limitDeadline(); empty if the request must be refused.
@@ -75,10 +88,7 @@
     {
         if (now >= m_acceptUntil)
             return std::nullopt;
-        const SteadyTime limited = limitDeadline(deadline);
-        if (limited < deadline && now + expectedTime > limited)
-            return std::nullopt;
-        return limited;
+        return acceptFromPeer(deadline, now + expectedTime);
     }
 
     /// @param isIdle Whether no request is in flight.
--- a/snipeweir/relay/Relay.cpp
+++ b/snipeweir/relay/Relay.cpp
@@ -237,10 +237,10 @@
     }
     Response response = Response::notRun(Reason::WrongEndpoint);
     request->body = connection.takeBody();
-    if (m_stopSchedule)
-        request->deadline = m_stopSchedule->limitDeadline(request->deadline);
     auto cancellation = std::make_shared<Cancellation>();
-    if (request->service == m_settings.service) {
+    if (!mayServe(*request)) {
+        response.reason = Reason::Draining;
+    } else if (request->service == m_settings.service) {
         connection.watchForDisconnect([cancellation] { cancellation->cancel(); });
         response = co_await m_server.run(*request, *cancellation);
         connection.stopWatching();
@@ -261,6 +261,19 @@
     connection.stopWatching();
 }
 
+bool Relay::mayServe(RelayRequest& request) const
+{
+    if (!m_stopSchedule)
+        return true;
+    SteadyTime mayEndAt = request.deadline;
+    if (isIdempotent(request.kind) && request.expectedServiceTime.count() > 0)
+        mayEndAt = std::max(m_clock.now() + request.expectedServiceTime, request.targetAt);
+    const auto deadline = m_stopSchedule->acceptFromPeer(request.deadline, mayEndAt);
+    if (deadline)
+        request.deadline = *deadline;
+    return deadline.has_value();
+}
+
 asio::awaitable<void> Relay::rejectPeerRequest(InboundConnection& connection)
 {
     co_await connection.writeComplete(
--- a/snipeweir/relay/Relay.h
+++ b/snipeweir/relay/Relay.h
@@ -47,6 +47,9 @@
     asio::awaitable<void> servePeer(asio::ip::tcp::socket);
     asio::awaitable<void> serveStatus(asio::ip::tcp::socket);
     asio::awaitable<void> servePeerRequest(InboundConnection&);
+    /// @return Whether a request of another node may run here; otherwise a planned stop might cut it off. Shortens the
+    /// deadline of its run if necessary.
+    bool mayServe(RelayRequest&) const;
     /// Responds to a request of another node whose body does not fit into the memory.
     asio::awaitable<void> rejectPeerRequest(InboundConnection&);
     /// Closes a connection of another node or of the platform; see InboundConnection::close.
--- a/tests/admission/StopScheduleTests.cpp
+++ b/tests/admission/StopScheduleTests.cpp
@@ -34,6 +34,18 @@
     }
 }
 
+TEST_CASE("A request of another node starts though the stop cuts its run off, and another node could run it")
+{
+    for (const auto grace : { 1000ms, 3000ms, 6000ms, 10'000ms, 60'000ms }) {
+        const StopSchedule schedule = scheduleWith(grace);
+        const SteadyTime limit = schedule.limitDeadline(stop + grace);
+        CHECK(schedule.acceptFromPeer(limit, limit) == limit);
+        CHECK_FALSE(schedule.acceptFromPeer(limit + 1ms, limit + 1ms));
+        CHECK(schedule.acceptFromPeer(limit + 1s, limit) == limit);
+        CHECK(schedule.acceptFromPeer(limit - 1ms, limit + 1s) == limit - 1ms);
+    }
+}
+
 TEST_CASE("A request that is sent three seconds after the signal or later is accepted")
 {
     for (const auto grace : { 6000ms, 10'000ms, 60'000ms })
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -228,6 +228,13 @@
         writer.close()
         self.assertEqual(await asyncio.wait_for(exited, begin + GRACE - time.monotonic()), 0)
 
+    async def test_a_long_request_starts_at_a_node_that_ends_before_it(self):
+        for node in self.fleet.nodes:
+            node.backend.service_time = 3.6
+        requests, _ = await self.stop_while_another_node_sends("ok", 5000)
+        for sent in requests:
+            self.assertEqual(sent.status, 200, f"{sent.kind}, {sent.after:.1f} s after the signal")
+
     async def test_a_process_that_stops_while_operations_are_pending_crashes(self):
         # Pending operations must not outlive the parts of the node that they use when they are destroyed.
         self.fleet.configure([self.fleet.route("/s/", "safe", "one", "0ms"),
