Keep room to hold the first response in progress of a connection

Change: the first request keeps the room that holding a usual response of its route needs, and a complete response keeps only its size.

--- a/snipeweir/relay/CallerConnection.cpp
+++ b/snipeweir/relay/CallerConnection.cpp
@@ -147,9 +147,7 @@
         shutDown();
         return;
     }
-    wakeRequests();
-    if (m_readState == ReadState::AwaitingRoom)
-        m_roomTimer.cancel();
+    onRoom();
     if (!m_sequencer.isIdle())
         return;
     // The limits on idle connections and incomplete requests apply again.
@@ -165,6 +163,13 @@
         request->m_wakeTimer.cancel();
 }
 
+void CallerConnection::onRoom()
+{
+    wakeRequests();
+    if (m_readState == ReadState::AwaitingRoom)
+        m_roomTimer.cancel();
+}
+
 void CallerConnection::limitStalledRead()
 {
     m_stallTimer.expires_after(m_headerTimeout);
--- a/snipeweir/relay/CallerConnection.h
+++ b/snipeweir/relay/CallerConnection.h
@@ -74,6 +74,8 @@
     ResponseSequencer& sequencer();
     /// Lets the requests that wait for another check whether they may go on.
     void wakeRequests();
+    /// Lets all that waits for room on the connection check whether there is enough.
+    void onRoom();
     void onPeerClosed();
     void shutDown();
     /// Cancels the requests behind a position.
--- a/snipeweir/relay/CallerPath.cpp
+++ b/snipeweir/relay/CallerPath.cpp
@@ -110,7 +110,7 @@
     request.id = CallId(id);
     request.callerService = m_relaySettings.service;
     request.kind = route.kind;
-    connection.setRunMode(runMode(route.kind));
+    connection.setRunMode(runMode(route.kind), expectedHeldBytes(route));
     request.priority = route.priority;
     if (const auto rejection = m_authentication.authenticate(route, request, call->credential)) {
         co_await writeLocalResponse(connection, rejection->status, id, rejection->reason);
@@ -466,6 +466,7 @@
     const std::string& callId, Reason reason, std::chrono::milliseconds quotaRetryAfter)
 {
     if (!connection.isTurn()) {
+        connection.shrinkMemory(0);
         const bool isTurn = co_await connection.waitForTurn();
         if (!isTurn)
             co_return false;
--- a/snipeweir/relay/CallerPath.h
+++ b/snipeweir/relay/CallerPath.h
@@ -98,6 +98,8 @@
     /// deadline of its run if necessary.
     bool mayServe(Call&);
     static ResponseSequencer::RunMode runMode(RouteKind);
+    /// @return Memory that holding a response of the route is expected to need; see readHeldBody().
+    size_t expectedHeldBytes(const Route&);
     /// @return Whether the request may run now; it then counts as started.
     bool tryStart(RequestConnection&);
     /// Waits until it is the response's turn to be written. Reads the rest of its body meanwhile, as far as the memory
--- a/snipeweir/relay/CallerPipeline.cpp
+++ b/snipeweir/relay/CallerPipeline.cpp
@@ -12,6 +12,8 @@
 
     /// Size by which a body may grow in one read.
     constexpr size_t readChunkBytes = 32U << 10U;
+    /// Capacity that the part of a body has which is buffered before it is held.
+    constexpr size_t bufferedCapacity = 128U << 10U;
 
 }
 
@@ -126,9 +128,17 @@
     return request.tryStart(runMode(route ? route->kind : RouteKind::Idempotent), static_cast<size_t>(expectedBytes));
 }
 
+size_t CallerPath::expectedHeldBytes(const Route& route)
+{
+    const auto bytes = static_cast<size_t>(m_statistics.findLargest(route).responseBytes);
+    return bytes > bufferedCapacity / 2 ? bufferedCapacity + bytes + readChunkBytes : bufferedCapacity;
+}
+
 asio::awaitable<void> CallerPath::holdResponse(RequestConnection& connection, Call& call)
 {
     co_await readHeldBody(connection, call);
+    if (!call.response->rest)
+        connection.shrinkMemory(call.response->body.capacity());
     co_await connection.waitForTurn();
     // The responses before it have released their memory.
     co_await readHeldBody(connection, call);
--- a/snipeweir/relay/RequestConnection.cpp
+++ b/snipeweir/relay/RequestConnection.cpp
@@ -40,9 +40,12 @@
     return true;
 }
 
-void RequestConnection::setRunMode(ResponseSequencer::RunMode mode)
+void RequestConnection::setRunMode(ResponseSequencer::RunMode mode, size_t expectedBytes)
 {
-    m_connection->m_sequencer.onStarted(m_position, mode);
+    ResponseSequencer& sequencer = m_connection->m_sequencer;
+    sequencer.onStarted(m_position, mode);
+    if (isTurn())
+        sequencer.hold(m_position, std::min(expectedBytes, sequencer.room(m_position)));
     m_connection->wakeRequests();
 }
 
@@ -55,6 +58,13 @@
     return true;
 }
 
+void RequestConnection::shrinkMemory(size_t bytes)
+{
+    m_responseMemory.shrinkTo(bytes);
+    m_connection->m_sequencer.hold(m_position, bytes);
+    m_connection->onRoom();
+}
+
 asio::awaitable<void> RequestConnection::waitForChange()
 {
     m_wakeTimer.expires_at(SteadyTime::max());
--- a/snipeweir/relay/RequestConnection.h
+++ b/snipeweir/relay/RequestConnection.h
@@ -39,8 +39,10 @@
 
     /// Starts the request on its turn. Nothing behind it starts until setRunMode() says that it may.
     void startInTurn() { m_connection->m_sequencer.onStarted(m_position, ResponseSequencer::RunMode::Exclusive); }
-    /// Sets the mode of a request that has started, when its route is known.
-    void setRunMode(ResponseSequencer::RunMode);
+    /// Sets the mode of a request that has started, when its route is known. In its turn, room for the response is kept
+    /// free on the connection, since it is held while requests behind it have started.
+    /// @param expectedBytes Memory that holding the response is expected to need.
+    void setRunMode(ResponseSequencer::RunMode, size_t expectedBytes);
 
     /// Waits until a response of the connection has been written or the request is cancelled.
     asio::awaitable<void> waitForChange();
@@ -59,6 +61,9 @@
     /// @return False if the limit of the connection or of the node would be exceeded.
     bool holdMemory(size_t bytes);
 
+    /// Reduces what is reserved for the response to what it needs, so that the others have room.
+    void shrinkMemory(size_t bytes);
+
     /// @param onCancel Called once if the request is cancelled before finish().
     void watchForDisconnect(std::function<void()> onCancel);
     /// Stops watching a connection on which this is the only request.
--- a/snipeweir/relay/ResponseSequencer.cpp
+++ b/snipeweir/relay/ResponseSequencer.cpp
@@ -67,10 +67,10 @@
         [&](const Entry& behind) { return behind.position > position && behind.hasStarted; });
 }
 
-bool ResponseSequencer::mayHold(Position position, size_t bytes) const
+size_t ResponseSequencer::room(Position position) const
 {
     const size_t others = m_heldBytes - entry(position).responseBytes;
-    return others <= m_settings.maxHeldBytes && bytes <= m_settings.maxHeldBytes - others;
+    return others < m_settings.maxHeldBytes ? m_settings.maxHeldBytes - others : 0;
 }
 
 void ResponseSequencer::hold(Position position, size_t bytes)
--- a/snipeweir/relay/ResponseSequencer.h
+++ b/snipeweir/relay/ResponseSequencer.h
@@ -64,8 +64,10 @@
     /// @return Whether a request behind this one has started. It would get no response if this one's broke off.
     bool hasStartedBehind(Position) const;
 
+    /// @return Memory that the response of the request may hold in total.
+    size_t room(Position) const;
     /// @param bytes Memory for the response of the request, in total.
-    bool mayHold(Position, size_t bytes) const;
+    bool mayHold(Position position, size_t bytes) const { return bytes <= room(position); }
     void hold(Position, size_t bytes);
 
     /// @return Whether all responses before that of the request have been written.
--- a/tests/relay/ResponseSequencerTests.cpp
+++ b/tests/relay/ResponseSequencerTests.cpp
@@ -165,6 +165,23 @@
     CHECK(sequencer.mayRead());
 }
 
+TEST_CASE("Requests behind take the room that is kept for the first response, or get none when it needs less")
+{
+    Sequencer sequencer { Sequencer::Settings { 8, 1000 } };
+    const auto first = sequencer.add(0, AfterResponse::KeepOpen);
+    const auto second = sequencer.add(100, AfterResponse::KeepOpen);
+    sequencer.hold(first, 700);
+    CHECK(sequencer.room(second) == 200);
+    CHECK_FALSE(sequencer.mayHold(second, 201));
+    sequencer.hold(second, 200);
+    CHECK(sequencer.room(first) == 700);
+    CHECK(sequencer.mayHold(first, 700));
+    CHECK_FALSE(sequencer.mayRead());
+    sequencer.hold(first, 10);
+    CHECK(sequencer.mayHold(second, 890));
+    CHECK(sequencer.mayRead());
+}
+
 TEST_CASE("A stopping node's last started response closes the connection, also if requests that did not start follow")
 {
     Sequencer sequencer { Sequencer::Settings() };
--- a/tests/relay/test_pipelining.py
+++ b/tests/relay/test_pipelining.py
@@ -253,6 +253,21 @@
         self.assertEqual(await self.caller.receive_all(ids), [502, 200, 200])
         self.assertEqual([self.runs(request_id) for request_id in ids[1:]], [1, 1])
 
+    async def test_requests_behind_leave_no_room_to_hold_a_response_that_breaks_off(self):
+        # Their responses are small; those that wait first, and then those that still run when the first response arrives.
+        self.set_time(0.3, "one")
+        for behind_time in (0.05, 0.6):
+            self.set_time(behind_time, "two")
+            for backend in self.servers():
+                backend.body = b"x" * 250_000 if backend.service == "one" else b"x" * 400
+                backend.mode = "ok"
+            # Once the size of the responses is known.
+            self.assertEqual(await self.caller.receive_all([self.caller.send(path="/s/x")]), [200])
+            for backend in self.servers():
+                backend.mode = "cut" if backend.service == "one" else "ok"
+            ids = [self.caller.send(path=path) for path in ["/s/x"] + ["/q/x"] * 7]
+            self.assertEqual(await self.caller.receive_all(ids), [502] + [200] * 7)
+
     async def test_a_request_starts_behind_a_response_that_is_being_streamed(self):
         # It would lose its response if that one broke off.
         self.set_time(0.1)
