Log why a response that stands still was ended, and send its time in a field

A read that ends by the time limit counted as progress, so the request was logged without a reason; it has deadline_while_running now, which test_response_time_limit.py checks.

--- a/snipeweir/relay/HopCodec.cpp
+++ b/snipeweir/relay/HopCodec.cpp
@@ -18,6 +18,8 @@
     /// Size up to which a body is sent without waiting for the serving node: it fits into the receive buffer of the
     /// connection, and the wait costs a round trip.
     constexpr size_t maxUnannouncedBodyBytes = Connection::receiveBufferBytes;
+    /// In a request: microseconds until the response is no longer awaited, if that is later than the deadline.
+    constexpr std::string_view responseDeadlineField = "Snipeweir-Response-Deadline";
     constexpr std::string_view runField = "Snipeweir-Run";
     /// In a request: whether it is a retry, and retryProbability in thousandths. In a response: the retry report.
     constexpr std::string_view retryField = "Snipeweir-Retry";
@@ -85,7 +87,10 @@
              request.expectedServiceTime.count() })
         head.append(" ").append(std::to_string(number));
     if (request.responseDeadline > request.deadline)
-        head.append(" ").append(std::to_string(microseconds(request.responseDeadline - now)));
+        head.append("\r\n")
+            .append(responseDeadlineField)
+            .append(": ")
+            .append(std::to_string(microseconds(request.responseDeadline - now)));
     if (!request.organisation.empty())
         head.append("\r\n").append(organisationField).append(": ").append(request.organisation);
     if (request.retryProbability > 0) {
@@ -119,11 +124,6 @@
     if (fields.fail() || kind < 0 || kind > static_cast<int64_t>(RouteKind::Download))
         return std::nullopt;
 
-    // Absent if it is the deadline, and from nodes of the previous version.
-    int64_t timeToResponseDeadline = 0;
-    if (!(fields >> timeToResponseDeadline))
-        timeToResponseDeadline = timeToDeadline;
-
     RelayRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
@@ -137,7 +137,11 @@
     request.priority = static_cast<uint32_t>(priority);
     request.targetAt = now + std::chrono::microseconds(timeToTarget);
     request.deadline = now + std::chrono::microseconds(timeToDeadline);
-    request.responseDeadline = now + std::chrono::microseconds(std::max(timeToDeadline, timeToResponseDeadline));
+    // Absent if it is the deadline, and from nodes of the previous version.
+    const std::vector<int64_t> timeToResponse = numbers(message[std::string(responseDeadlineField)], 1);
+    request.responseDeadline = request.deadline;
+    if (!timeToResponse.empty())
+        request.responseDeadline = std::max(request.deadline, now + std::chrono::microseconds(timeToResponse.front()));
     request.expectedServiceTime = std::chrono::microseconds(expectedServiceTime);
     // Absent from nodes of the previous version; the request then counts as a first attempt.
     const std::vector<int64_t> retry = numbers(message[std::string(retryField)], 2);
--- a/snipeweir/relay/HttpExchange.cpp
+++ b/snipeweir/relay/HttpExchange.cpp
@@ -358,7 +358,8 @@
 asio::awaitable<HttpExchange::StepResult> HttpExchange::readBody(std::string& body, ResponseTimeLimit& limit)
 {
     const StepResult end = co_await readBody(body, limit.end());
-    limit.onProgress(BootTime::now());
+    if (end == StepResult::Complete || end == StepResult::More)
+        limit.onProgress(BootTime::now());
     co_return end;
 }
 
--- a/tests/relay/ResponseTimeLimitTests.cpp
+++ b/tests/relay/ResponseTimeLimitTests.cpp
@@ -60,7 +60,7 @@
         CHECK(received->deadline == deadline);
         CHECK(received->responseDeadline == start + timeout);
         // A node of the previous version sends no time for the response.
-        message.set("Snipeweir-Hop", "a i b 1 1 0 1200000 0");
+        message.erase("Snipeweir-Response-Deadline");
         received = hop_codec::decodeRequest(message, "Request-Id", start);
         REQUIRE(received);
         CHECK(received->responseDeadline == deadline);
--- a/tests/relay/test_response_time_limit.py
+++ b/tests/relay/test_response_time_limit.py
@@ -64,12 +64,15 @@
         writer.close()
         return answers
 
-    def assert_ended_at_the_timeout(self, answer):
+    async def assert_ended_at_the_timeout(self, node, answer):
         self.assertEqual(answer.status, 200)
         self.assertFalse(answer.is_complete)
         self.assertLess(answer.head_at, TIMEOUT)
         self.assertLess(answer.ended_at, TIMEOUT + 0.25)
         self.assertGreater(answer.ended_at, TIMEOUT - 0.05)
+        await asyncio.sleep(0.5)  # The log has a thread of its own.
+        logged = [line for line in node.log_text().splitlines() if '"event":"answered"' in line]
+        self.assertIn('"reason":"deadline_while_running"', logged[-1])
 
     def use_link(self, service_time, transfer_time):
         self.backend.mode, self.backend.service_time = "slow_link", service_time
@@ -84,12 +87,12 @@
             answers = await send
         finally:
             self.serving.signal(signal.SIGCONT)
-        self.assert_ended_at_the_timeout(answers[0])
+        await self.assert_ended_at_the_timeout(self.caller, answers[0])
 
     async def test_a_response_outlasts_its_timeout_while_its_server_stands_still(self):
         self.backend.mode = "stall"
         for node in self.fleet.nodes:
-            self.assert_ended_at_the_timeout((await self.send(node))[0])
+            await self.assert_ended_at_the_timeout(node, (await self.send(node))[0])
 
     async def test_a_response_that_still_moves_is_cut_shortly_before_its_end(self):
         self.use_link(0.6, 0.8)
